--- /dev/null
+++ b/coordination/shcontrol/command.go
@@ -0,0 +1,236 @@
+// Package shcontrol is the replicated state of the system: configuration
+// revisions, claims of once-only work, link grants, ranges of request IDs,
+// drains and strikes.
+//
+// A Command goes in with the time that the leader stamped on it, and a Result
+// comes out. Applying the same commands in the same order gives the same state
+// on every replica.
+package shcontrol
+
+import (
+	"time"
+
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+)
+
+// Command is a change to the replicated state. The set is closed.
+type Command interface{ command() }
+
+// ApplyConfig replaces the configuration if BaseRevision is the current one.
+// A command whose EditID was accepted before gets the first result again.
+type ApplyConfig struct {
+	EditID       string          `json:"editId"`
+	Author       string          `json:"author,omitempty"`
+	BaseRevision uint64          `json:"baseRevision"`
+	Config       shconfig.Config `json:"config"`
+}
+
+// OpenClaim claims once-only work for one attempt. Its result is a ClaimResult;
+// the attempt may be sent only if the status is ClaimGranted.
+type OpenClaim struct {
+	Key       shmodel.ClaimKey  `json:"key"`
+	Digest    shmodel.Digest    `json:"digest"`
+	RequestID shmodel.RequestID `json:"requestId"`
+	Attempt   Attempt           `json:"attempt"`
+}
+
+// Attempt is one run of once-only work on one backend server.
+type Attempt struct {
+	Number        uint32                `json:"number"`
+	VM            shmodel.VM            `json:"vm"`
+	BackendServer shmodel.BackendServer `json:"backendServer"`
+	// Address is the IP:port of the backend server, for cancellation.
+	Address string `json:"address"`
+	// DispatchBy is the absolute deadline that the backend server enforces.
+	DispatchBy time.Time `json:"dispatchBy"`
+}
+
+// CloseClaim records the outcome of the attempt of a claim. NotRun permits
+// another attempt; Answered and Unknown are final.
+type CloseClaim struct {
+	Key       shmodel.ClaimKey  `json:"key"`
+	RequestID shmodel.RequestID `json:"requestId"`
+	Attempt   uint32            `json:"attempt"`
+	Outcome   shmodel.Outcome   `json:"outcome"`
+	Reason    string            `json:"reason,omitempty"`
+	Answer    Answer            `json:"answer,omitzero"`
+}
+
+// SettleClaim forbids any later claim of Key by RequestID if the request holds
+// none. Its result tells the claim that the key has, if any.
+type SettleClaim struct {
+	Key       shmodel.ClaimKey  `json:"key"`
+	RequestID shmodel.RequestID `json:"requestId"`
+}
+
+// Answer is a recorded answer of a backend server. Body is empty and Truncated
+// set if the body was larger than the limit of recorded answers (64 KiB).
+type Answer struct {
+	Status    int                 `json:"status"`
+	Header    map[string][]string `json:"header,omitempty"`
+	Body      []byte              `json:"body,omitempty"`
+	Truncated bool                `json:"truncated,omitempty"`
+}
+
+// RequestGrant asks for a share of a link for a VM in region From.
+type RequestGrant struct {
+	VM            shmodel.VM     `json:"vm"`
+	From          shmodel.Region `json:"from"`
+	To            shmodel.Region `json:"to"`
+	BitsPerSecond int64          `json:"bitsPerSecond"`
+}
+
+// ExpireGrant frees a grant. Only the leader proposes it, after the grant ran
+// out by the slowest permitted clock of its holder.
+type ExpireGrant struct {
+	ID uint64 `json:"id"`
+}
+
+// ReserveRange reserves Count request IDs for one process of a VM.
+type ReserveRange struct {
+	VM          shmodel.VM `json:"vm"`
+	Incarnation uint64     `json:"incarnation"`
+	Count       uint64     `json:"count"`
+}
+
+// ReportCrash reports that a backend server died while it ran the requests
+// with Digests. Solo says that it ran only the one request.
+type ReportCrash struct {
+	BackendServer shmodel.BackendServer `json:"backendServer"`
+	Digests       []shmodel.Digest      `json:"digests"`
+	Solo          bool                  `json:"solo,omitempty"`
+}
+
+// OpenSolo claims the only permitted run of a digest that has a strike.
+type OpenSolo struct {
+	Digest    shmodel.Digest    `json:"digest"`
+	RequestID shmodel.RequestID `json:"requestId"`
+	VM        shmodel.VM        `json:"vm"`
+	Until     time.Time         `json:"until"`
+}
+
+// CloseSolo ends a solo run that did not crash. Succeeded clears the digest.
+type CloseSolo struct {
+	Digest    shmodel.Digest    `json:"digest"`
+	RequestID shmodel.RequestID `json:"requestId"`
+	Succeeded bool              `json:"succeeded"`
+}
+
+// SetDrain starts or ends the drain of a VM or of a region.
+type SetDrain struct {
+	VM       shmodel.VM     `json:"vm,omitempty"`
+	Region   shmodel.Region `json:"region,omitempty"`
+	Draining bool           `json:"draining"`
+}
+
+func (ApplyConfig) command()  {}
+func (OpenClaim) command()    {}
+func (CloseClaim) command()   {}
+func (SettleClaim) command()  {}
+func (RequestGrant) command() {}
+func (ExpireGrant) command()  {}
+func (ReserveRange) command() {}
+func (ReportCrash) command()  {}
+func (OpenSolo) command()     {}
+func (CloseSolo) command()    {}
+func (SetDrain) command()     {}
+
+// Result is the result of a Command. The set is closed.
+type Result interface{ result() }
+
+// ConfigResult is the result of ApplyConfig. When Accepted is false, Revision
+// and Config are the current ones.
+type ConfigResult struct {
+	Accepted bool            `json:"accepted"`
+	Revision uint64          `json:"revision"`
+	Config   shconfig.Config `json:"config"`
+}
+
+// ClaimStatus is the state of a claim as a proposer sees it.
+type ClaimStatus string
+
+// Claim statuses.
+const (
+	// ClaimGranted permits the proposer to send the attempt.
+	ClaimGranted ClaimStatus = "granted"
+	// ClaimInProgress says that an attempt has no outcome yet.
+	ClaimInProgress ClaimStatus = "in-progress"
+	// ClaimAnswered carries the recorded answer.
+	ClaimAnswered ClaimStatus = "answered"
+	// ClaimUnknown says that the outcome of an attempt is unknown for good.
+	ClaimUnknown ClaimStatus = "unknown"
+	// ClaimNotRun says that the last attempt did not run; another may.
+	ClaimNotRun ClaimStatus = "not-run"
+	// ClaimConflict says that the key was used with another digest.
+	ClaimConflict ClaimStatus = "conflict"
+	// ClaimUsedBefore says that the key is older than the retention period.
+	ClaimUsedBefore ClaimStatus = "used-before"
+	// ClaimForbidden says that the request was settled as not run.
+	ClaimForbidden ClaimStatus = "forbidden"
+)
+
+// ClaimResult is the result of OpenClaim, CloseClaim and SettleClaim.
+// RequestID, Attempt and Answer describe the claim of the key.
+type ClaimResult struct {
+	Status    ClaimStatus       `json:"status"`
+	RequestID shmodel.RequestID `json:"requestId,omitempty"`
+	Attempt   Attempt           `json:"attempt,omitzero"`
+	Reason    string            `json:"reason,omitempty"`
+	Answer    Answer            `json:"answer,omitzero"`
+}
+
+// GrantResult is the result of RequestGrant and ExpireGrant. BitsPerSecond is
+// zero if nothing is free. The holder counts Duration from before it asked.
+type GrantResult struct {
+	ID            uint64        `json:"id"`
+	BitsPerSecond int64         `json:"bitsPerSecond"`
+	Duration      time.Duration `json:"duration"`
+}
+
+// RangeResult is the result of ReserveRange.
+type RangeResult struct {
+	Range shrecord.Range `json:"range"`
+}
+
+// SuspectStatus is the state of a digest.
+type SuspectStatus string
+
+// Suspect statuses.
+const (
+	// SuspectNone says that the digest may run like any other.
+	SuspectNone SuspectStatus = "none"
+	// SuspectSolo says that the digest may run only alone, under OpenSolo.
+	SuspectSolo SuspectStatus = "solo"
+	// SuspectGranted permits the proposer of OpenSolo to run the request.
+	SuspectGranted SuspectStatus = "granted"
+	// SuspectBusy says that another solo run of the digest is in progress.
+	SuspectBusy SuspectStatus = "busy"
+	// SuspectQuarantined says that the digest must not run.
+	SuspectQuarantined SuspectStatus = "quarantined"
+)
+
+// SuspectResult is the result of ReportCrash, OpenSolo and CloseSolo, in the
+// order of the digests of the command.
+type SuspectResult struct {
+	Statuses []SuspectStatus `json:"statuses"`
+}
+
+// DrainResult is the result of SetDrain.
+type DrainResult struct {
+	Draining bool `json:"draining"`
+}
+
+// Rejected is the result of a command that is malformed.
+type Rejected struct {
+	Reason string `json:"reason"`
+}
+
+func (ConfigResult) result()  {}
+func (ClaimResult) result()   {}
+func (GrantResult) result()   {}
+func (RangeResult) result()   {}
+func (SuspectResult) result() {}
+func (DrainResult) result()   {}
+func (Rejected) result()      {}
--- /dev/null
+++ b/protocol/shwire/wire.go
@@ -0,0 +1,120 @@
+// Package shwire is the messages of the system: HTTP headers and bodies
+// towards callers, backend servers and operators, and jsonrpc2 methods between
+// processes.
+package shwire
+
+import (
+	"sequoiahollow/state/shmodel"
+)
+
+// HTTP headers.
+const (
+	// HeaderService names the service of a caller's request.
+	HeaderService = "Sequoiahollow-Service"
+	// HeaderRequestID carries the request ID in answers, in requests to backend
+	// servers and in their answers.
+	HeaderRequestID = "Sequoiahollow-Request-Id"
+	// HeaderAttempt carries the attempt number to backend servers.
+	HeaderAttempt = "Sequoiahollow-Attempt"
+	// HeaderOutcome carries an shmodel.Outcome in answers.
+	HeaderOutcome = "Sequoiahollow-Outcome"
+	// HeaderTimeout is the caller's timeout in milliseconds.
+	HeaderTimeout = "Sequoiahollow-Timeout-Ms"
+	// HeaderDeadline is an absolute deadline, in Unix milliseconds.
+	HeaderDeadline = "Sequoiahollow-Deadline"
+	// HeaderKey is the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+	// HeaderReplayed is "true" on a recorded answer.
+	HeaderReplayed = "Sequoiahollow-Replayed"
+)
+
+// Paths of the HTTP interfaces.
+const (
+	PathEntries       = "/v1/entries"
+	PathAnnouncements = "/v1/announcements"
+	PathForward       = "/v1/forward"
+	// PathRequests is the cancellation interface of backend servers:
+	// DELETE PathRequests/{requestID}/{attempt}.
+	PathRequests = "/v1/requests"
+)
+
+// Entries is the answer to a look-up: entry VMs in the order of preference.
+type Entries struct {
+	Service    shmodel.Service `json:"service"`
+	Revision   uint64          `json:"revision"`
+	CacheForMS int64           `json:"cacheForMs"`
+	Entries    []EntryAddress  `json:"entries"`
+}
+
+// EntryAddress is one entry VM in a look-up answer. Address is IP:port.
+type EntryAddress struct {
+	VM            shmodel.VM            `json:"vm"`
+	Region        shmodel.Region        `json:"region"`
+	FailureDomain shmodel.FailureDomain `json:"failureDomain"`
+	Address       string                `json:"address"`
+}
+
+// Announcement is what a backend server posts to its owner every 500 ms.
+type Announcement struct {
+	BackendServer shmodel.BackendServer `json:"backendServer"`
+	Service       shmodel.Service       `json:"service"`
+	// Address is IP:port.
+	Address string        `json:"address"`
+	Place   shmodel.Place `json:"place"`
+	// Incarnation rises with each start of the backend server.
+	Incarnation uint64 `json:"incarnation"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	// InFlight is the number of requests that it runs now.
+	InFlight int `json:"inFlight"`
+	// Load is the reported utilisation, 0 to 1.
+	Load    float64 `json:"load"`
+	Cold    bool    `json:"cold,omitempty"`
+	Leaving bool    `json:"leaving,omitempty"`
+	// Nonce echoes the owner's previous answer; empty in a first announcement.
+	Nonce string `json:"nonce,omitempty"`
+}
+
+// AnnouncementAnswer is the owner's answer. The backend server may name
+// another owner only after LeaseMS plus drift since its last announcement,
+// or at once when Released is set.
+type AnnouncementAnswer struct {
+	Nonce   string `json:"nonce"`
+	LeaseMS int64  `json:"leaseMs"`
+	// Released says that this owner gave up its lease.
+	Released bool `json:"released,omitempty"`
+	// Owners lists the ServerAddresses to announce to, best first.
+	Owners []string `json:"owners,omitempty"`
+}
+
+// CancelStatus is the answer to a cancellation.
+type CancelStatus string
+
+// Cancel statuses.
+const (
+	// CancelNotRun promises that the attempt did not and will not run.
+	CancelNotRun CancelStatus = "not-run"
+	// CancelRunning says that the attempt runs and cannot be stopped.
+	CancelRunning CancelStatus = "running"
+	// CancelDone says that the attempt ran to its end.
+	CancelDone CancelStatus = "done"
+)
+
+// CancelAnswer is the body of the answer to a cancellation.
+type CancelAnswer struct {
+	Status CancelStatus `json:"status"`
+}
+
+// Problem is an application/problem+json body.
+type Problem struct {
+	Type      string            `json:"type"`
+	Title     string            `json:"title"`
+	Status    int               `json:"status"`
+	Detail    string            `json:"detail,omitempty"`
+	RequestID shmodel.RequestID `json:"requestId,omitempty"`
+	Outcome   shmodel.Outcome   `json:"outcome,omitempty"`
+	Reason    string            `json:"reason,omitempty"`
+}
+
+// ContentTypeProblem is the media type of Problem.
+const ContentTypeProblem = "application/problem+json"
--- /dev/null
+++ b/state/shconfig/config.go
@@ -0,0 +1,84 @@
+// Package shconfig is the operators' configuration: services, regions and the
+// limits on how traffic may shift between regions.
+//
+// Operators keep it as a folder of JSON files. The files are merged in the
+// order of their names: objects merge key by key, any other value replaces the
+// earlier one, and null removes it. The merged document is checked as a whole.
+// An accepted document gets a revision from the replicated state.
+package shconfig
+
+import "sequoiahollow/state/shmodel"
+
+// Objective is what steering decisions weigh first.
+type Objective string
+
+// Objectives.
+const (
+	Headroom Objective = "headroom"
+	Latency  Objective = "latency"
+)
+
+// Config is one whole configuration. The zero Config steers nothing.
+type Config struct {
+	Objective Objective                   `json:"objective,omitempty"`
+	Regions   map[shmodel.Region]Region   `json:"regions,omitempty"`
+	Links     map[string]Link             `json:"links,omitempty"`
+	Services  map[shmodel.Service]Service `json:"services,omitempty"`
+	Limits    Limits                      `json:"limits,omitzero"`
+}
+
+// Region lists the failure domains of a region and the latency to callers.
+type Region struct {
+	FailureDomains  []shmodel.FailureDomain `json:"failureDomains"`
+	ClientLatencyMS float64                 `json:"clientLatencyMs,omitempty"`
+	InnerLatencyMS  float64                 `json:"innerLatencyMs,omitempty"`
+}
+
+// Link is the ordered pair of regions From → To. Rates are in bits per second.
+// CapBitsPerSecond bounds all traffic of the system on the pair;
+// ControlBitsPerSecond of it is kept for control and account messages.
+type Link struct {
+	From                 shmodel.Region `json:"from"`
+	To                   shmodel.Region `json:"to"`
+	CapBitsPerSecond     int64          `json:"capBitsPerSecond"`
+	ControlBitsPerSecond int64          `json:"controlBitsPerSecond"`
+	LatencyMS            float64        `json:"latencyMs,omitempty"`
+}
+
+// Service is one service. Operations are matched in order; the first match
+// decides, and Default applies when none matches.
+type Service struct {
+	Hosts            []string              `json:"hosts,omitempty"`
+	Default          shmodel.OperationKind `json:"default"`
+	Operations       []Operation           `json:"operations,omitempty"`
+	DefaultTimeoutMS int64                 `json:"defaultTimeoutMs"`
+	MaxBodyBytes     int64                 `json:"maxBodyBytes,omitempty"`
+	ServiceLevel     ServiceLevel          `json:"serviceLevel,omitzero"`
+}
+
+// Operation matches requests by method and by path. Path is a net/http mux
+// path pattern without method or host, such as /invoices/{id}.
+type Operation struct {
+	Method string                `json:"method"`
+	Path   string                `json:"path"`
+	Kind   shmodel.OperationKind `json:"kind"`
+}
+
+// ServiceLevel is the objective that the burn report measures against.
+// GoodShare is the share of good requests, 0 to 1; a good request is answered
+// within LatencyMS.
+type ServiceLevel struct {
+	GoodShare float64 `json:"goodShare"`
+	LatencyMS int64   `json:"latencyMs"`
+}
+
+// Limits holds deployment-wide limits. Zero values select the defaults.
+type Limits struct {
+	LookupCacheMS int64   `json:"lookupCacheMs,omitempty"`
+	CrashLimit    int     `json:"crashLimit,omitempty"`
+	RetryShare    float64 `json:"retryShare,omitempty"`
+	HedgeShare    float64 `json:"hedgeShare,omitempty"`
+	ReserveShare  float64 `json:"reserveShare,omitempty"`
+	ClaimHours    int     `json:"claimHours,omitempty"`
+	ClockErrorMS  int64   `json:"clockErrorMs,omitempty"`
+}
--- /dev/null
+++ b/state/shsettings/settings.go
@@ -0,0 +1,77 @@
+// Package shsettings is the settings of one process: its name, place, roles,
+// addresses, data folder and the control VMs that it knows from the start.
+package shsettings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+
+	"sequoiahollow/state/shmodel"
+)
+
+// Role is a job of a process.
+type Role string
+
+// Roles.
+const (
+	Entry   Role = "entry"
+	Control Role = "control"
+	Account Role = "account"
+)
+
+// Settings is the content of a settings file. Addresses are IP:port.
+type Settings struct {
+	VM            shmodel.VM            `json:"vm"`
+	Region        shmodel.Region        `json:"region"`
+	FailureDomain shmodel.FailureDomain `json:"failureDomain"`
+	Roles         []Role                `json:"roles"`
+	// DataFolder is where durable files live. Control and account need it.
+	DataFolder string `json:"dataFolder,omitempty"`
+	// CallerAddress serves look-ups and requests of callers over HTTP.
+	CallerAddress string `json:"callerAddress"`
+	// ServerAddress serves announcements of backend servers and requests
+	// forwarded by other entry VMs over HTTP.
+	ServerAddress string `json:"serverAddress"`
+	// PeerAddress serves jsonrpc2 between processes of the system.
+	PeerAddress string `json:"peerAddress"`
+	// OperatorAddress serves the operator interface, metrics and health.
+	OperatorAddress   string `json:"operatorAddress"`
+	OperatorTokenFile string `json:"operatorTokenFile"`
+	// Peers lists the VMs with the control or account role, itself included.
+	Peers []Peer `json:"peers"`
+}
+
+// Peer is a VM known from the settings.
+type Peer struct {
+	VM            shmodel.VM            `json:"vm"`
+	Region        shmodel.Region        `json:"region"`
+	FailureDomain shmodel.FailureDomain `json:"failureDomain"`
+	Roles         []Role                `json:"roles"`
+	PeerAddress   string                `json:"peerAddress"`
+}
+
+// Place returns the place of the process.
+func (s Settings) Place() shmodel.Place {
+	return shmodel.Place{Region: s.Region, FailureDomain: s.FailureDomain}
+}
+
+// Has reports whether the process has a role.
+func (s Settings) Has(r Role) bool { return slices.Contains(s.Roles, r) }
+
+// Load reads a settings file. Unknown fields are errors.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, err
+	}
+	var s Settings
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, fmt.Errorf("%s: %w", file, err)
+	}
+	return s, nil
+}
