Serve a request end to end through separate processes

The dispatcher hides the body type from net/http, because net/http resends a request that carries an idempotency key on its own.

--- a/protocol/shwire/wire.go
+++ b/protocol/shwire/wire.go
@@ -16,6 +16,10 @@
 	HeaderRequestID = "Sequoiahollow-Request-Id"
 	// HeaderAttempt carries the attempt number to backend servers.
 	HeaderAttempt = "Sequoiahollow-Attempt"
+	// HeaderIncarnation carries the incarnation that a backend server announced.
+	// A backend server with another incarnation refuses the request as not run,
+	// since it may have a new owner.
+	HeaderIncarnation = "Sequoiahollow-Incarnation"
 	// HeaderOutcome carries an shmodel.Outcome in answers.
 	HeaderOutcome = "Sequoiahollow-Outcome"
 	// HeaderTimeout is the caller's timeout in milliseconds.
--- /dev/null
+++ b/transport/shbackend/announcer.go
@@ -0,0 +1,213 @@
+package shbackend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"sequoiahollow/protocol/shwire"
+)
+
+const (
+	announceEvery   = 500 * time.Millisecond
+	announceTimeout = 400 * time.Millisecond
+	maxAnswer       = 64 << 10
+	// defaultLease bounds the lease of an owner that never answered.
+	defaultLease = 1500 * time.Millisecond
+	// driftShare is the permitted difference in the rate of two clocks.
+	driftShare = 0.02
+)
+
+// announcer posts announcements to one owner at a time. It turns to another
+// owner only when the lease of the last one has run out by the slowest
+// permitted clock, or when the owner released it.
+type announcer struct {
+	server *Server
+	client http.Client
+	done   chan struct{}
+	kick   chan struct{}
+
+	owners  []string
+	owner   int
+	nonce   string
+	lease   time.Duration
+	sent    time.Time
+	failing bool
+	reports []report
+}
+
+type report struct {
+	at       time.Time
+	inFlight int
+}
+
+func (a *announcer) start(s *Server) {
+	a.server = s
+	a.client.Timeout = announceTimeout
+	a.client.Transport = &http.Transport{IdleConnTimeout: 5 * time.Second}
+	a.done = make(chan struct{})
+	a.kick = make(chan struct{}, 1)
+	a.owners = s.config.Owners
+	a.lease = defaultLease
+	go a.loop()
+}
+
+func (a *announcer) stop() {
+	select {
+	case <-a.done:
+	default:
+		close(a.done)
+	}
+}
+
+func (a *announcer) wake() {
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (a *announcer) loop() {
+	t := time.NewTicker(announceEvery)
+	defer t.Stop()
+	for {
+		again := a.step(time.Now())
+		if again {
+			continue
+		}
+		select {
+		case <-a.done:
+			return
+		case <-a.kick:
+		case <-t.C:
+		}
+	}
+}
+
+// step announces once and reports whether the next announcement is due now:
+// after a first answer, which gives a nonce but no lease, and after a release.
+func (a *announcer) step(now time.Time) bool {
+	if len(a.owners) == 0 {
+		return false
+	}
+	wait := time.Duration(float64(a.lease) * (1 + driftShare))
+	// Without a nonce the owner holds no lease.
+	if a.failing && (a.nonce == "" || now.Sub(a.sent) >= wait) {
+		a.turnTo(a.owner + 1)
+	}
+	first := a.nonce == ""
+	if !a.failing || first {
+		a.sent = now
+	}
+	answer, err := a.post(a.owners[a.owner%len(a.owners)])
+	if err != nil {
+		a.failing = true
+		return false
+	}
+	a.failing = false
+	a.sent = now
+	a.nonce = answer.Nonce
+	if answer.LeaseMS > 0 {
+		a.lease = time.Duration(answer.LeaseMS) * time.Millisecond
+	}
+	if answer.Released && len(answer.Owners) > 0 {
+		a.owners = answer.Owners
+		a.turnTo(0)
+		return !a.stopped()
+	}
+	if len(answer.Owners) > 0 {
+		a.mergeOwners(answer.Owners)
+	}
+	return first && !a.stopped()
+}
+
+func (a *announcer) stopped() bool {
+	select {
+	case <-a.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (a *announcer) turnTo(i int) {
+	a.owner = i % len(a.owners)
+	a.nonce = ""
+	a.failing = false
+}
+
+// mergeOwners takes over the list of owners and keeps the present one in use.
+func (a *announcer) mergeOwners(owners []string) {
+	current := a.owners[a.owner%len(a.owners)]
+	merged := []string{current}
+	for _, o := range owners {
+		if o != current {
+			merged = append(merged, o)
+		}
+	}
+	a.owners = merged
+	a.owner = 0
+}
+
+func (a *announcer) post(owner string) (shwire.AnnouncementAnswer, error) {
+	var answer shwire.AnnouncementAnswer
+	body, err := json.Marshal(a.announcement())
+	if err != nil {
+		return answer, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+owner+shwire.PathAnnouncements, bytes.NewReader(body))
+	if err != nil {
+		return answer, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := a.client.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return answer, fmt.Errorf("announcement answered with status %d", response.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&answer)
+	return answer, err
+}
+
+func (a *announcer) announcement() shwire.Announcement {
+	s := a.server
+	c := s.config
+	s.mu.Lock()
+	inFlight := s.inFlight
+	s.mu.Unlock()
+	inFlight = a.reported(time.Now(), inFlight)
+	load := 0.0
+	if c.Slots > 0 {
+		load = float64(inFlight) / float64(c.Slots)
+	}
+	return shwire.Announcement{
+		BackendServer: c.BackendServer, Service: c.Service, Address: c.Address, Place: c.Place,
+		Incarnation: c.Incarnation, Slots: c.Slots, Connections: c.Connections,
+		InFlight: inFlight, Load: load, Cold: s.cold(), Leaving: s.leaving.Load(), Nonce: a.nonce,
+	}
+}
+
+// reported applies the standing faults to the number of requests in flight.
+func (a *announcer) reported(now time.Time, inFlight int) int {
+	f := a.server.config.Faults
+	if f.ReportIdle {
+		return 0
+	}
+	if f.ReportLag == 0 {
+		return inFlight
+	}
+	a.reports = append(a.reports, report{at: now, inFlight: inFlight})
+	for len(a.reports) > 1 && now.Sub(a.reports[1].at) >= f.ReportLag {
+		a.reports = a.reports[1:]
+	}
+	return a.reports[0].inFlight
+}
--- /dev/null
+++ b/transport/shbackend/server.go
@@ -0,0 +1,350 @@
+// Package shbackend is a stand-in backend server for the demo and for tests.
+//
+// It follows the interface towards backend servers: it announces itself to one
+// entry VM at a time, runs requests within its slots, sheds the excess, honours
+// deadlines and cancellations, and echoes request IDs. Every run is written to
+// a journal, so that tests can compare it with the account. Faults are switched
+// on by Faults or by a request header.
+package shbackend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+)
+
+// HeaderFault asks the stand-in for a fault: FaultCrash, FaultSilent,
+// FaultBreak, FaultSlow or FaultWrongID.
+const HeaderFault = "Stand-In-Fault"
+
+// Values of HeaderFault.
+const (
+	// FaultCrash ends the backend server while it runs the request.
+	FaultCrash = "crash"
+	// FaultSilent runs the request and never answers on this connection.
+	FaultSilent = "silent"
+	// FaultBreak runs the request and breaks the answer off half-way.
+	FaultBreak = "break"
+	// FaultSlow runs the request for twenty times the service time.
+	FaultSlow = "slow"
+	// FaultWrongID answers with the request ID of another request.
+	FaultWrongID = "wrong-id"
+)
+
+const (
+	maxBody           = 16 << 20
+	readHeaderTimeout = 5 * time.Second
+	slowFactor        = 20
+	// cancelMemory is how long a cancelled attempt is refused. Deadlines of
+	// attempts are shorter.
+	cancelMemory = 10 * time.Minute
+)
+
+// Config describes a stand-in backend server.
+type Config struct {
+	BackendServer shmodel.BackendServer
+	Service       shmodel.Service
+	Place         shmodel.Place
+	// Address is the IP:port to listen on.
+	Address     string
+	Slots       int
+	Connections int
+	// Owners lists ServerAddresses of entry VMs to announce to at first.
+	Owners []string
+	// ServiceTime is how long a request runs; ColdFactor multiplies it during
+	// ColdFor after the start.
+	ServiceTime time.Duration
+	ColdFor     time.Duration
+	ColdFactor  float64
+	// Journal receives one JSON line per event of a run.
+	Journal io.Writer
+	// Crash is called for FaultCrash. It must not return.
+	Crash func()
+	// Incarnation must rise with each start.
+	Incarnation uint64
+	Faults      Faults
+}
+
+// Faults are standing faults of the reports.
+type Faults struct {
+	// ReportIdle reports no load and no request in flight.
+	ReportIdle bool
+	// ReportLag reports the load of this long ago.
+	ReportLag time.Duration
+}
+
+// JournalLine is one event of a run: "started", "finished", "shed", "expired"
+// or "cancelled".
+type JournalLine struct {
+	Event         string                `json:"event"`
+	At            time.Time             `json:"at"`
+	BackendServer shmodel.BackendServer `json:"backendServer"`
+	RequestID     shmodel.RequestID     `json:"requestId"`
+	Attempt       uint32                `json:"attempt"`
+	Method        string                `json:"method"`
+	Path          string                `json:"path"`
+	Key           string                `json:"key,omitempty"`
+	InFlight      int                   `json:"inFlight"`
+}
+
+type attemptID struct {
+	request shmodel.RequestID
+	number  uint32
+}
+
+type attemptState struct {
+	status shwire.CancelStatus
+	at     time.Time
+	cancel context.CancelFunc
+}
+
+// Server is a running stand-in backend server.
+type Server struct {
+	config   Config
+	started  time.Time
+	server   *http.Server
+	listener net.Listener
+	announce announcer
+	leaving  atomic.Bool
+
+	mu       sync.Mutex
+	inFlight int
+	attempts map[attemptID]*attemptState
+}
+
+// Start listens and begins to announce.
+func Start(c Config) (*Server, error) {
+	listener, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return nil, fmt.Errorf("backend server %s: %w", c.BackendServer, err)
+	}
+	if c.Incarnation == 0 {
+		c.Incarnation = uint64(time.Now().UnixNano())
+	}
+	c.Address = listener.Addr().String()
+	s := &Server{config: c, started: time.Now(), listener: listener, attempts: map[attemptID]*attemptState{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("DELETE "+shwire.PathRequests+"/{request}/{attempt}", s.handleCancel)
+	mux.HandleFunc("/", s.handleRequest)
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = s.server.Serve(listener) }()
+	s.announce.start(s)
+	return s, nil
+}
+
+// Address returns the IP:port that the server listens on.
+func (s *Server) Address() string { return s.config.Address }
+
+// Leave announces that the backend server is leaving. It goes on serving.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+	s.announce.wake()
+}
+
+// Close stops at once, as a crash does: no last announcement, connections cut.
+func (s *Server) Close() error {
+	s.announce.stop()
+	return s.server.Close()
+}
+
+func (s *Server) cold() bool { return time.Since(s.started) < s.config.ColdFor }
+
+func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
+	id, err := attemptOf(r.Header.Get(shwire.HeaderRequestID), r.Header.Get(shwire.HeaderAttempt))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(shwire.HeaderRequestID, id.request.String())
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	ctx, refused := s.admit(r, id)
+	if refused != "" {
+		s.journal(refused, r, id)
+		w.Header().Set(shwire.HeaderOutcome, string(shmodel.NotRun))
+		http.Error(w, refused, http.StatusServiceUnavailable)
+		return
+	}
+	s.journal("started", r, id)
+	cancelled := s.run(ctx, r)
+	s.finish(id, cancelled)
+	if cancelled {
+		s.journal("cancelled", r, id)
+		panic(http.ErrAbortHandler)
+	}
+	s.journal("finished", r, id)
+	s.answer(w, r, body)
+}
+
+// admit takes a slot. The returned reason says why the request is not run.
+func (s *Server) admit(r *http.Request, id attemptID) (context.Context, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgetOld()
+	if deadline, ok := deadlineOf(r); ok && time.Now().After(deadline) {
+		return nil, "expired"
+	}
+	if i := r.Header.Get(shwire.HeaderIncarnation); i != "" && i != strconv.FormatUint(s.config.Incarnation, 10) {
+		return nil, "other incarnation"
+	}
+	if a := s.attempts[id]; a != nil {
+		return nil, "cancelled before start"
+	}
+	if s.inFlight >= s.config.Slots {
+		return nil, "shed"
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	if r.Header.Get(shwire.HeaderKey) != "" {
+		// Once-only work runs to its end when the connection goes away.
+		ctx, cancel = context.WithCancel(context.WithoutCancel(r.Context()))
+	}
+	s.inFlight++
+	s.attempts[id] = &attemptState{status: shwire.CancelRunning, at: time.Now(), cancel: cancel}
+	return ctx, ""
+}
+
+// run reports whether the request was cancelled before its end.
+func (s *Server) run(ctx context.Context, r *http.Request) bool {
+	d := s.config.ServiceTime
+	if s.cold() && s.config.ColdFactor > 1 {
+		d = time.Duration(float64(d) * s.config.ColdFactor)
+	}
+	switch r.Header.Get(HeaderFault) {
+	case FaultCrash:
+		s.crash()
+	case FaultSlow:
+		d *= slowFactor
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return true
+	}
+}
+
+func (s *Server) crash() {
+	if s.config.Crash != nil {
+		s.config.Crash()
+	}
+	_ = s.Close()
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) finish(id attemptID, cancelled bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	a := s.attempts[id]
+	a.cancel()
+	a.at = time.Now()
+	a.status = shwire.CancelDone
+	if cancelled {
+		a.status = shwire.CancelNotRun
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+	content := fmt.Appendf(nil, "%s ran %s %s, body %d bytes\n", s.config.BackendServer, r.Method, r.URL.Path, len(body))
+	if size, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil && size > 0 && size <= maxBody {
+		content = make([]byte, size)
+	}
+	switch r.Header.Get(HeaderFault) {
+	case FaultSilent:
+		<-r.Context().Done()
+		return
+	case FaultBreak:
+		w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+		_, _ = w.Write(content[:len(content)/2])
+		panic(http.ErrAbortHandler)
+	case FaultWrongID:
+		w.Header().Set(shwire.HeaderRequestID, shmodel.RequestID(1<<63).String())
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	_, _ = w.Write(content)
+}
+
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request) {
+	id, err := attemptOf(r.PathValue("request"), r.PathValue("attempt"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(shwire.HeaderRequestID, id.request.String())
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(shwire.CancelAnswer{Status: s.cancel(id)})
+}
+
+// cancel leaves a mark for an attempt that has not arrived, so that a later
+// arrival is refused. Work that has started is not interrupted: the stand-in
+// cannot undo it, and only a certain not-run may be reported.
+func (s *Server) cancel(id attemptID) shwire.CancelStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.attempts[id]
+	if a == nil {
+		s.attempts[id] = &attemptState{status: shwire.CancelNotRun, at: time.Now(), cancel: func() {}}
+		return shwire.CancelNotRun
+	}
+	return a.status
+}
+
+func (s *Server) forgetOld() {
+	if len(s.attempts) < 4096 {
+		return
+	}
+	for id, a := range s.attempts {
+		if a.status != shwire.CancelRunning && time.Since(a.at) > cancelMemory {
+			delete(s.attempts, id)
+		}
+	}
+}
+
+func (s *Server) journal(event string, r *http.Request, id attemptID) {
+	if s.config.Journal == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	line, err := json.Marshal(JournalLine{
+		Event: event, At: time.Now(), BackendServer: s.config.BackendServer,
+		RequestID: id.request, Attempt: id.number, Method: r.Method, Path: r.URL.Path,
+		Key: r.Header.Get(shwire.HeaderKey), InFlight: s.inFlight,
+	})
+	if err == nil {
+		_, _ = s.config.Journal.Write(append(line, '\n'))
+	}
+}
+
+func attemptOf(request, number string) (attemptID, error) {
+	var id attemptID
+	if err := id.request.UnmarshalText([]byte(request)); err != nil {
+		return id, err
+	}
+	n, err := strconv.ParseUint(number, 10, 32)
+	if err != nil {
+		return id, fmt.Errorf("attempt %q: %w", number, err)
+	}
+	id.number = uint32(n)
+	return id, nil
+}
+
+func deadlineOf(r *http.Request) (time.Time, bool) {
+	ms, err := strconv.ParseInt(r.Header.Get(shwire.HeaderDeadline), 10, 64)
+	return time.UnixMilli(ms), err == nil
+}
--- /dev/null
+++ b/transport/shentry/dispatch.go
@@ -0,0 +1,191 @@
+package shentry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+)
+
+const (
+	dialTimeout = 250 * time.Millisecond
+	// idleTimeout bounds how long an unused connection is trusted.
+	idleTimeout = 5 * time.Second
+	maxHeader   = 64 << 10
+	// bufferLimit is the largest answer body that is read whole before the
+	// answer begins, so that a broken answer can be retried.
+	bufferLimit = 64 << 10
+	// cancelTimeout bounds one cancellation call.
+	cancelTimeout  = 500 * time.Millisecond
+	maxIdlePerHost = 64
+)
+
+// Fault is how an attempt failed. The zero Fault says that it did not.
+type Fault string
+
+// Faults of an attempt. FaultRefused and FaultShed are certain not-runs.
+const (
+	FaultRefused  Fault = "connection refused"
+	FaultShed     Fault = "shed"
+	FaultTimeout  Fault = "no answer in time"
+	FaultBroken   Fault = "connection broken"
+	FaultMismatch Fault = "answer to another request"
+)
+
+// Certain reports whether the fault proves that the attempt was not run.
+func (f Fault) Certain() bool { return f == FaultRefused || f == FaultShed }
+
+// Outgoing is one HTTP request to a backend server or to another entry VM.
+type Outgoing struct {
+	Address   string
+	Method    string
+	URI       string
+	Header    http.Header
+	Body      []byte
+	RequestID shmodel.RequestID
+	// FirstByte bounds the wait for the answer's header.
+	FirstByte time.Duration
+	// Fresh asks for a new connection. Once-only work always uses one, since an
+	// open connection may have gone silent.
+	Fresh bool
+}
+
+// Incoming is the answer to an Outgoing. Body holds the whole body if Rest is
+// nil; otherwise Rest continues it and must be closed.
+type Incoming struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Rest   io.ReadCloser
+	// Length is the length of the whole body, or -1.
+	Length int64
+}
+
+// Dispatcher sends requests and classifies what comes back. It never sends a
+// request twice.
+type Dispatcher struct {
+	pooled http.Transport
+	fresh  http.Transport
+}
+
+// NewDispatcher returns a Dispatcher with its own connections.
+func NewDispatcher() *Dispatcher {
+	d := &Dispatcher{}
+	for _, t := range []*http.Transport{&d.pooled, &d.fresh} {
+		t.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		t.IdleConnTimeout = idleTimeout
+		t.MaxResponseHeaderBytes = maxHeader
+		t.MaxIdleConnsPerHost = maxIdlePerHost
+		t.DisableCompression = true
+	}
+	d.fresh.DisableKeepAlives = true
+	return d
+}
+
+// bodyReader hides the type of the body from net/http, which would otherwise
+// send a request with an idempotency key again on its own.
+type bodyReader struct{ io.Reader }
+
+func (bodyReader) Close() error { return nil }
+
+// Send makes one attempt. The context bounds the whole exchange up to the end
+// of a buffered body.
+func (d *Dispatcher) Send(ctx context.Context, o Outgoing) (Incoming, Fault) {
+	ctx, cancel := context.WithCancel(ctx)
+	request, err := http.NewRequestWithContext(ctx, o.Method, "http://"+o.Address+o.URI, bodyReader{bytes.NewReader(o.Body)})
+	if err != nil {
+		cancel()
+		return Incoming{}, FaultRefused
+	}
+	request.ContentLength = int64(len(o.Body))
+	request.Header = o.Header
+	late := time.AfterFunc(o.FirstByte, cancel)
+	transport := &d.pooled
+	if o.Fresh {
+		transport = &d.fresh
+	}
+	response, err := transport.RoundTrip(request)
+	if !late.Stop() && err == nil {
+		_ = response.Body.Close()
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
+		cancel()
+		if !o.Fresh {
+			d.pooled.CloseIdleConnections()
+		}
+		return Incoming{}, sendFault(err)
+	}
+	return receive(response, o.RequestID, cancel)
+}
+
+func sendFault(err error) Fault {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return FaultRefused
+	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return FaultTimeout
+	}
+	return FaultBroken
+}
+
+func receive(response *http.Response, id shmodel.RequestID, cancel context.CancelFunc) (Incoming, Fault) {
+	in := Incoming{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	if response.Header.Get(shwire.HeaderRequestID) != id.String() {
+		cancel()
+		_ = response.Body.Close()
+		return in, FaultMismatch
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, bufferLimit+1))
+	if err != nil {
+		cancel()
+		_ = response.Body.Close()
+		return in, FaultBroken
+	}
+	in.Body = body
+	if len(body) > bufferLimit {
+		in.Rest = &rest{ReadCloser: response.Body, cancel: cancel}
+		return in, ""
+	}
+	cancel()
+	_ = response.Body.Close()
+	in.Length = int64(len(body))
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(shwire.HeaderOutcome) == string(shmodel.NotRun) {
+		return in, FaultShed
+	}
+	return in, ""
+}
+
+// rest ends the exchange when the body is closed.
+type rest struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (r *rest) Close() error {
+	r.cancel()
+	return r.ReadCloser.Close()
+}
+
+// Cancel asks a backend server to cancel an attempt.
+func (d *Dispatcher) Cancel(ctx context.Context, address string, id shmodel.RequestID, attempt uint32) (shwire.CancelStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	uri := shwire.PathRequests + "/" + id.String() + "/" + strconv.FormatUint(uint64(attempt), 10)
+	in, fault := d.Send(ctx, Outgoing{
+		Address: address, Method: http.MethodDelete, URI: uri, Header: http.Header{},
+		RequestID: id, FirstByte: cancelTimeout, Fresh: true,
+	})
+	if fault != "" {
+		return "", errors.New(string(fault))
+	}
+	return decodeCancel(in.Body)
+}
--- /dev/null
+++ b/transport/shentry/http.go
@@ -0,0 +1,134 @@
+package shentry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 60 * time.Second
+	keepAliveTimeout  = 60 * time.Second
+	problemTypePrefix = "urn:sequoiahollow:problem:"
+)
+
+// NewServer returns an HTTP server whose sizes and times are bounded.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
+		IdleTimeout: keepAliveTimeout, MaxHeaderBytes: maxHeader,
+	}
+}
+
+// WriteProblem answers with application/problem+json. A positive retryAfter is
+// sent as whole seconds, rounded up.
+func WriteProblem(w http.ResponseWriter, p shwire.Problem, retryAfter time.Duration) {
+	if p.Type == "" {
+		p.Type = problemTypePrefix + strings.ReplaceAll(p.Reason, " ", "-")
+	}
+	if p.Title == "" {
+		p.Title = http.StatusText(p.Status)
+	}
+	h := w.Header()
+	h.Set("Content-Type", shwire.ContentTypeProblem)
+	if p.RequestID != 0 {
+		h.Set(shwire.HeaderRequestID, p.RequestID.String())
+	}
+	if p.Outcome != "" {
+		h.Set(shwire.HeaderOutcome, string(p.Outcome))
+	}
+	if retryAfter > 0 {
+		seconds := int64((retryAfter + time.Second - 1) / time.Second)
+		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	body, err := json.Marshal(p)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(body)
+}
+
+// WriteJSON answers with a JSON body.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// hopHeaders are not passed on (RFC 9110, section 7.6.1), nor are headers that
+// the system sets itself.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	shwire.HeaderRequestID, shwire.HeaderAttempt, shwire.HeaderDeadline, shwire.HeaderOutcome,
+	shwire.HeaderIncarnation, shwire.HeaderReplayed,
+}
+
+// passOn copies the end-to-end headers.
+func passOn(h http.Header) http.Header {
+	c := h.Clone()
+	for _, v := range h.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			c.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		c.Del(name)
+	}
+	return c
+}
+
+// copyAnswer sends an answer to the caller. An answer that breaks off aborts
+// the connection, so that the caller never takes it for a whole one. It
+// returns the number of body bytes sent.
+func copyAnswer(w http.ResponseWriter, in Incoming, id shmodel.RequestID, outcome shmodel.Outcome, pace func(int) error) int64 {
+	h := w.Header()
+	for name, values := range passOn(in.Header) {
+		h[name] = values
+	}
+	h.Set(shwire.HeaderRequestID, id.String())
+	h.Set(shwire.HeaderOutcome, string(outcome))
+	if in.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(in.Length, 10))
+	}
+	w.WriteHeader(in.Status)
+	sent, err := writePaced(w, in.Body, pace)
+	if err != nil || in.Rest == nil {
+		return sent
+	}
+	defer func() { _ = in.Rest.Close() }()
+	more, err := copyPaced(w, in.Rest, pace)
+	sent += more
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return sent
+}
+
+func decodeCancel(body []byte) (shwire.CancelStatus, error) {
+	var a shwire.CancelAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return "", fmt.Errorf("cancellation answer: %w", err)
+	}
+	switch a.Status {
+	case shwire.CancelNotRun, shwire.CancelRunning, shwire.CancelDone:
+		return a.Status, nil
+	}
+	return "", fmt.Errorf("cancellation answer: unknown status %q", a.Status)
+}
