Add a client for callers

Look-up answers are cached as long as they permit. A request is sent again through another entry VM only when it was not sent, is idempotent by method, or carries an idempotency key.

--- /dev/null
+++ b/transport/shcaller/caller.go
@@ -0,0 +1,258 @@
+// Package shcaller is a client for callers.
+//
+// A Client asks an entry VM which entry VMs serve a service, keeps the answer
+// for as long as it permits, and sends requests to the first entry VM that
+// works. Idempotent requests and requests with an idempotency key are sent
+// again through another entry VM when a connection fails: the system runs a key
+// at most once, so a resend with the same key is safe.
+package shcaller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+)
+
+const (
+	maxAnswer     = 64 << 20
+	lookupTimeout = 2 * time.Second
+	dialTimeout   = time.Second
+	idleTimeout   = 5 * time.Second
+	// graceTimeout is what a request may take beyond its own timeout before the
+	// client takes the connection for silent.
+	graceTimeout   = 500 * time.Millisecond
+	defaultTimeout = 5 * time.Second
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindLookup says that no entry VM answered a look-up.
+	KindLookup Kind = "look-up"
+	// KindSend says that no entry VM gave an answer.
+	KindSend Kind = "send"
+)
+
+// Error is an error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Request is one request of a caller. Key is needed for once-only operations.
+type Request struct {
+	Service shmodel.Service
+	Method  string
+	// URI is the path with an optional query.
+	URI     string
+	Key     string
+	Header  http.Header
+	Body    []byte
+	Timeout time.Duration
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status    int
+	Header    http.Header
+	Body      []byte
+	RequestID shmodel.RequestID
+	// Outcome is empty if the answer did not come from the system.
+	Outcome shmodel.Outcome
+	Entry   shwire.EntryAddress
+	// Sends is the number of times that the request was sent.
+	Sends int
+}
+
+// Client sends requests. Seeds lists caller addresses of entry VMs to ask
+// first. It is safe for concurrent use.
+type Client struct {
+	Seeds []string
+
+	once    sync.Once
+	http    http.Client
+	mu      sync.Mutex
+	lookups map[shmodel.Service]cached
+}
+
+type cached struct {
+	entries shwire.Entries
+	until   time.Time
+}
+
+func (c *Client) init() {
+	c.once.Do(func() {
+		c.lookups = map[shmodel.Service]cached{}
+		c.http.Transport = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			IdleConnTimeout:     idleTimeout,
+			MaxIdleConnsPerHost: 64,
+			DisableCompression:  true,
+		}
+	})
+}
+
+// Lookup returns the entry VMs for a service, from the cache while it is valid.
+// When no entry VM answers, an answer that has run out is better than none.
+func (c *Client) Lookup(ctx context.Context, service shmodel.Service) (shwire.Entries, error) {
+	c.init()
+	c.mu.Lock()
+	old := c.lookups[service]
+	c.mu.Unlock()
+	if time.Now().Before(old.until) {
+		return old.entries, nil
+	}
+	var failures []error
+	for _, address := range c.askable(old.entries) {
+		e, err := c.ask(ctx, address, service)
+		if err != nil {
+			failures = append(failures, err)
+			continue
+		}
+		until := time.Now().Add(time.Duration(e.CacheForMS) * time.Millisecond)
+		c.mu.Lock()
+		c.lookups[service] = cached{entries: e, until: until}
+		c.mu.Unlock()
+		return e, nil
+	}
+	if len(old.entries.Entries) > 0 {
+		return old.entries, nil
+	}
+	return shwire.Entries{}, &Error{Op: "lookup", Kind: KindLookup, Err: errors.Join(failures...)}
+}
+
+// askable lists addresses of known entry VMs first, then the seeds.
+func (c *Client) askable(e shwire.Entries) []string {
+	var addresses []string
+	for _, entry := range e.Entries {
+		addresses = append(addresses, entry.Address)
+	}
+	for _, seed := range c.Seeds {
+		if !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
+	}
+	return addresses
+}
+
+func (c *Client) ask(ctx context.Context, address string, service shmodel.Service) (shwire.Entries, error) {
+	var e shwire.Entries
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	target := "http://" + address + shwire.PathEntries + "?service=" + url.QueryEscape(string(service))
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return e, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return e, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return e, fmt.Errorf("look-up at %s answered with status %d", address, response.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, 1<<20)).Decode(&e)
+	if err == nil && len(e.Entries) == 0 {
+		err = fmt.Errorf("look-up at %s returned no entry VM", address)
+	}
+	return e, err
+}
+
+// Do sends a request until an entry VM answers. An answer of any status is an
+// Answer; an error says that none came.
+func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
+	if r.Timeout <= 0 {
+		r.Timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout+graceTimeout)
+	defer cancel()
+	entries, err := c.Lookup(ctx, r.Service)
+	if err != nil {
+		return Answer{}, err
+	}
+	deadline := time.Now().Add(r.Timeout)
+	var failures []error
+	for i, entry := range entries.Entries {
+		a, err := c.send(ctx, entry, r, time.Until(deadline))
+		a.Sends = i + 1
+		if err == nil {
+			return a, nil
+		}
+		failures = append(failures, err)
+		if !resendable(r, err) || ctx.Err() != nil {
+			break
+		}
+		c.Forget(r.Service)
+	}
+	return Answer{}, &Error{Op: "request", Kind: KindSend, Err: errors.Join(failures...)}
+}
+
+// Forget drops the cached look-up of a service.
+func (c *Client) Forget(service shmodel.Service) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.lookups[service]
+	old.until = time.Time{}
+	c.lookups[service] = old
+}
+
+func resendable(r Request, err error) bool {
+	var op *net.OpError
+	refused := errors.As(err, &op) && op.Op == "dial"
+	return refused || r.Key != "" || r.Method == http.MethodGet || r.Method == http.MethodHead
+}
+
+func (c *Client) send(ctx context.Context, entry shwire.EntryAddress, r Request, left time.Duration) (Answer, error) {
+	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+entry.Address+r.URI, bytes.NewReader(r.Body))
+	if err != nil {
+		return Answer{}, err
+	}
+	if r.Header != nil {
+		request.Header = r.Header.Clone()
+	}
+	request.Header.Set(shwire.HeaderService, string(r.Service))
+	request.Header.Set(shwire.HeaderTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	if r.Key != "" {
+		request.Header.Set(shwire.HeaderKey, r.Key)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return Answer{}, fmt.Errorf("answer broke off after %d bytes: %w", len(body), err)
+	}
+	if len(body) > maxAnswer {
+		return Answer{}, fmt.Errorf("answer is larger than %d bytes", maxAnswer)
+	}
+	a := Answer{Status: response.StatusCode, Header: response.Header, Body: body, Entry: entry}
+	a.Outcome = shmodel.Outcome(response.Header.Get(shwire.HeaderOutcome))
+	if text := response.Header.Get(shwire.HeaderRequestID); text != "" {
+		err = a.RequestID.UnmarshalText([]byte(text))
+	}
+	return a, err
+}
