Encode commands and results of shcontrol

Commands pass through the Raft log and results through jsonrpc2, so both need one JSON form. Decoding is strict: a replica that skipped an unknown field would diverge from the others. ReportCrash gets a request ID, because a repeated report could otherwise be taken for the crash of a later solo run.

--- /dev/null
+++ b/coordination/shcontrol/codec.go
@@ -0,0 +1,128 @@
+package shcontrol
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+)
+
+// envelope is the encoded form of a value of a sealed interface.
+type envelope struct {
+	Type string          `json:"type"`
+	Body json.RawMessage `json:"body"`
+}
+
+// codec encodes the types of a sealed interface I, tagged by type name.
+type codec[I any] map[string]func([]byte) (I, error)
+
+var commands = codec[Command]{}.
+	with(entry[Command, ApplyConfig]).
+	with(entry[Command, OpenClaim]).
+	with(entry[Command, CloseClaim]).
+	with(entry[Command, SettleClaim]).
+	with(entry[Command, RequestGrant]).
+	with(entry[Command, ExpireGrant]).
+	with(entry[Command, ReserveRange]).
+	with(entry[Command, ReportCrash]).
+	with(entry[Command, OpenSolo]).
+	with(entry[Command, CloseSolo]).
+	with(entry[Command, SetDrain])
+
+var results = codec[Result]{}.
+	with(entry[Result, ConfigResult]).
+	with(entry[Result, ClaimResult]).
+	with(entry[Result, GrantResult]).
+	with(entry[Result, RangeResult]).
+	with(entry[Result, SuspectResult]).
+	with(entry[Result, DrainResult]).
+	with(entry[Result, Rejected])
+
+// with adds the type that e describes.
+func (c codec[I]) with(e func() (string, func([]byte) (I, error))) codec[I] {
+	name, decode := e()
+	c[name] = decode
+	return c
+}
+
+// entry describes the type T of the sealed interface I.
+func entry[I, T any]() (string, func([]byte) (I, error)) {
+	decode := func(data []byte) (I, error) {
+		var (
+			v    T
+			none I
+		)
+		if err := decodeStrict(data, &v); err != nil {
+			return none, err
+		}
+		return any(v).(I), nil
+	}
+	return reflect.TypeFor[T]().Name(), decode
+}
+
+// EncodeCommand returns the JSON form of a command.
+func EncodeCommand(c Command) ([]byte, error) { return commands.encode("encode command", c) }
+
+// DecodeCommand reads the JSON form of a command. Unknown types, unknown
+// fields and trailing data are errors, since a replica that skipped them would
+// diverge from the others.
+func DecodeCommand(data []byte) (Command, error) { return commands.decode("decode command", data) }
+
+// EncodeResult returns the JSON form of a result.
+func EncodeResult(r Result) ([]byte, error) { return results.encode("encode result", r) }
+
+// DecodeResult reads the JSON form of a result, as strictly as DecodeCommand.
+func DecodeResult(data []byte) (Result, error) { return results.decode("decode result", data) }
+
+func (c codec[I]) encode(op string, v I) ([]byte, error) {
+	if reflect.TypeOf(v) == nil {
+		return nil, &Error{Op: op, Kind: Unencodable, Err: errors.New("no value")}
+	}
+	name := reflect.TypeOf(v).Name()
+	if c[name] == nil {
+		return nil, &Error{Op: op, Kind: UnknownType, Err: fmt.Errorf("%T is not a registered value type", v)}
+	}
+	body, err := json.Marshal(v)
+	if err != nil {
+		return nil, &Error{Op: op, Kind: Unencodable, Err: err}
+	}
+	data, err := json.Marshal(envelope{Type: name, Body: body})
+	if err != nil {
+		return nil, &Error{Op: op, Kind: Unencodable, Err: err}
+	}
+	return data, nil
+}
+
+func (c codec[I]) decode(op string, data []byte) (I, error) {
+	var (
+		e    envelope
+		none I
+	)
+	if err := decodeStrict(data, &e); err != nil {
+		return none, &Error{Op: op, Kind: Malformed, Err: err}
+	}
+	decode := c[e.Type]
+	if decode == nil {
+		return none, &Error{Op: op, Kind: UnknownType, Err: fmt.Errorf("type %q", e.Type)}
+	}
+	v, err := decode(e.Body)
+	if err != nil {
+		return none, &Error{Op: op, Kind: Malformed, Err: fmt.Errorf("%s: %w", e.Type, err)}
+	}
+	return v, nil
+}
+
+// decodeStrict reads exactly one JSON value without unknown fields.
+func decodeStrict(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data after the value")
+	}
+	return nil
+}
--- a/coordination/shcontrol/command.go
+++ b/coordination/shcontrol/command.go
@@ -101,6 +101,9 @@
 	BackendServer shmodel.BackendServer `json:"backendServer"`
 	Digests       []shmodel.Digest      `json:"digests"`
 	Solo          bool                  `json:"solo,omitempty"`
+	// RequestID is the request of the solo run. With it, a repeated report
+	// cannot be taken for the crash of a later solo run.
+	RequestID shmodel.RequestID `json:"requestId,omitempty"`
 }
 
 // OpenSolo claims the only permitted run of a digest that has a strike.
