--- /dev/null
+++ b/coordination/shcontrol/claims.go
@@ -0,0 +1,268 @@
+package shcontrol
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"sequoiahollow/state/shmodel"
+)
+
+const (
+	// MaxRecordedAnswer is the largest recorded answer, in bytes of header and
+	// body.
+	MaxRecordedAnswer = 64 << 10
+
+	// defaultClaimAge is how long full claims are kept if the configuration
+	// does not say.
+	defaultClaimAge = 24 * time.Hour
+
+	// expiredPerApply bounds the expiry work of one command. A command adds at
+	// most one entry to each map, so the backlog shrinks with every command.
+	expiredPerApply = 8
+)
+
+// claim is the state of a key whose claim is kept in full.
+type claim struct {
+	Digest    shmodel.Digest    `json:"digest"`
+	RequestID shmodel.RequestID `json:"requestId"`
+	Attempt   Attempt           `json:"attempt"`
+	// Status is in-progress, answered, unknown or not-run.
+	Status ClaimStatus `json:"status"`
+	Reason string      `json:"reason,omitempty"`
+	Answer Answer      `json:"answer,omitzero"`
+}
+
+// settled identifies a request that may no longer claim a key.
+type settled struct {
+	Key       shmodel.ClaimKey  `json:"key"`
+	RequestID shmodel.RequestID `json:"requestId"`
+}
+
+// claims is the state of once-only work. Attempt numbers rise per key, across
+// the requests that claim it, so a proposal that is applied twice or late is
+// never granted twice.
+type claims struct {
+	Full      agingMap[shmodel.ClaimKey, claim] `json:"full"`
+	Forbidden agingMap[settled, bool]           `json:"forbidden"`
+	Used      keyHashes                         `json:"used"`
+}
+
+func (c claim) result() ClaimResult {
+	return ClaimResult{
+		Status:    c.Status,
+		RequestID: c.RequestID,
+		Attempt:   c.Attempt,
+		Reason:    c.Reason,
+		Answer:    c.Answer,
+	}
+}
+
+// withStatus describes the claim without its answer under another status.
+func (c claim) withStatus(s ClaimStatus) ClaimResult {
+	r := c.result()
+	r.Status = s
+	r.Answer = Answer{}
+	return r
+}
+
+// open applies an OpenClaim. clockError is the largest difference between the
+// clocks of VMs.
+func (cs *claims) open(at time.Time, clockError time.Duration, c OpenClaim) Result {
+	if c.Key.Key == "" || c.RequestID == 0 || c.Attempt.Number == 0 {
+		return Rejected{Reason: "a claim needs a key, a request ID and an attempt number"}
+	}
+	held, exists := cs.Full.get(c.Key)
+	if _, ok := cs.Forbidden.get(settled{Key: c.Key, RequestID: c.RequestID}); ok {
+		return held.withStatus(ClaimForbidden)
+	}
+	if exists && held.Digest != c.Digest {
+		return held.withStatus(ClaimConflict)
+	}
+	if exists && held.Status != ClaimNotRun {
+		return held.result()
+	}
+	if exists && c.Attempt.Number <= held.Attempt.Number {
+		return held.result()
+	}
+	if !exists && cs.Used.has(c.Key) {
+		return ClaimResult{Status: ClaimUsedBefore}
+	}
+	c.Attempt.DispatchBy = canonical(c.Attempt.DispatchBy)
+	// A proposal that is applied this late may stem from a request whose
+	// not-run claim or settlement is no longer kept.
+	if !c.Attempt.DispatchBy.IsZero() && at.After(c.Attempt.DispatchBy.Add(clockError)) {
+		return Rejected{Reason: "the dispatch deadline has passed"}
+	}
+	opened := claim{
+		Digest:    c.Digest,
+		RequestID: c.RequestID,
+		Attempt:   c.Attempt,
+		Status:    ClaimInProgress,
+	}
+	cs.Full.put(at, c.Key, opened)
+	return opened.withStatus(ClaimGranted)
+}
+
+// end applies a CloseClaim.
+func (cs *claims) end(at time.Time, c CloseClaim) Result {
+	status, ok := statusOf(c.Outcome)
+	if !ok {
+		return Rejected{Reason: fmt.Sprintf("outcome %q", c.Outcome)}
+	}
+	held, exists := cs.Full.get(c.Key)
+	if !exists {
+		return cs.absent(c.Key, c.RequestID)
+	}
+	current := held.RequestID == c.RequestID && held.Attempt.Number == c.Attempt
+	if !current || held.Status != ClaimInProgress {
+		return held.result()
+	}
+	held.Status = status
+	held.Reason = c.Reason
+	if status == ClaimAnswered {
+		held.Answer = bounded(c.Answer)
+	}
+	cs.Full.put(at, c.Key, held)
+	return held.result()
+}
+
+// settle applies a SettleClaim. A request whose attempt did not run is settled
+// too, so that no later attempt contradicts a caller who was told not-run.
+func (cs *claims) settle(at time.Time, c SettleClaim) Result {
+	if c.Key.Key == "" || c.RequestID == 0 {
+		return Rejected{Reason: "a settlement needs a key and a request ID"}
+	}
+	held, exists := cs.Full.get(c.Key)
+	if !exists && cs.Used.has(c.Key) {
+		return ClaimResult{Status: ClaimUsedBefore}
+	}
+	if exists && held.RequestID == c.RequestID && held.Status != ClaimNotRun {
+		return held.result()
+	}
+	cs.Forbidden.put(at, settled(c), true)
+	if exists && held.Status != ClaimNotRun {
+		return held.result()
+	}
+	return held.withStatus(ClaimForbidden)
+}
+
+// absent describes a key without a full claim.
+func (cs *claims) absent(key shmodel.ClaimKey, id shmodel.RequestID) ClaimResult {
+	if cs.Used.has(key) {
+		return ClaimResult{Status: ClaimUsedBefore}
+	}
+	if _, ok := cs.Forbidden.get(settled{Key: key, RequestID: id}); ok {
+		return ClaimResult{Status: ClaimForbidden}
+	}
+	return ClaimResult{Status: ClaimNotRun}
+}
+
+// expire reduces old claims to the hash of their key. A claim whose attempts
+// did not run leaves nothing: the key was never used.
+func (cs *claims) expire(at time.Time, age time.Duration) {
+	for range expiredPerApply {
+		e, ok := cs.Full.takeOlder(at, age)
+		if !ok {
+			break
+		}
+		if e.Value.Status != ClaimNotRun {
+			cs.Used.add(e.Key)
+		}
+	}
+	for range expiredPerApply {
+		if _, ok := cs.Forbidden.takeOlder(at, age); !ok {
+			break
+		}
+	}
+}
+
+func statusOf(o shmodel.Outcome) (ClaimStatus, bool) {
+	switch o {
+	case shmodel.Answered:
+		return ClaimAnswered, true
+	case shmodel.Unknown:
+		return ClaimUnknown, true
+	case shmodel.NotRun:
+		return ClaimNotRun, true
+	}
+	return "", false
+}
+
+// bounded drops the parts of an answer that exceed MaxRecordedAnswer.
+func bounded(a Answer) Answer {
+	header := 0
+	for name, values := range a.Header {
+		for _, v := range values {
+			header += len(name) + len(v)
+		}
+	}
+	if header > MaxRecordedAnswer {
+		return Answer{Status: a.Status, Truncated: true}
+	}
+	if header+len(a.Body) > MaxRecordedAnswer {
+		a.Body = nil
+		a.Truncated = true
+	}
+	return a
+}
+
+// keyHash is the part of a used key that is kept for ever.
+type keyHash [16]byte
+
+// keyHashes is a set of used keys. Its JSON form is the sorted hashes in one
+// base64 string.
+type keyHashes struct{ set map[keyHash]struct{} }
+
+func hashKey(key shmodel.ClaimKey) keyHash {
+	data := binary.AppendUvarint(nil, uint64(len(key.Service)))
+	data = append(data, key.Service...)
+	data = append(data, key.Key...)
+	sum := sha256.Sum256(data)
+	return keyHash(sum[:16])
+}
+
+func (h *keyHashes) has(key shmodel.ClaimKey) bool {
+	_, ok := h.set[hashKey(key)]
+	return ok
+}
+
+func (h *keyHashes) add(key shmodel.ClaimKey) {
+	if h.set == nil {
+		h.set = map[keyHash]struct{}{}
+	}
+	h.set[hashKey(key)] = struct{}{}
+}
+
+// MarshalJSON implements json.Marshaler.
+func (h *keyHashes) MarshalJSON() ([]byte, error) {
+	sorted := make([]keyHash, 0, len(h.set))
+	for hash := range h.set {
+		sorted = append(sorted, hash)
+	}
+	slices.SortFunc(sorted, func(a, b keyHash) int { return slices.Compare(a[:], b[:]) })
+	data := make([]byte, 0, len(sorted)*len(keyHash{}))
+	for _, hash := range sorted {
+		data = append(data, hash[:]...)
+	}
+	return json.Marshal(data)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (h *keyHashes) UnmarshalJSON(text []byte) error {
+	var data []byte
+	if err := decodeStrict(text, &data); err != nil {
+		return err
+	}
+	if len(data)%len(keyHash{}) != 0 {
+		return fmt.Errorf("%d bytes of key hashes", len(data))
+	}
+	h.set = make(map[keyHash]struct{}, len(data)/len(keyHash{}))
+	for hash := range slices.Chunk(data, len(keyHash{})) {
+		h.set[keyHash(hash)] = struct{}{}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/shcontrol/drains.go
@@ -0,0 +1,53 @@
+package shcontrol
+
+import (
+	"maps"
+	"slices"
+
+	"sequoiahollow/state/shmodel"
+)
+
+// Drains lists the VMs and regions that drain, sorted by name.
+type Drains struct {
+	VMs     []shmodel.VM     `json:"vms,omitempty"`
+	Regions []shmodel.Region `json:"regions,omitempty"`
+}
+
+// drains is the VMs and regions that drain.
+type drains struct {
+	VMs     map[shmodel.VM]bool     `json:"vms"`
+	Regions map[shmodel.Region]bool `json:"regions"`
+}
+
+// set applies a SetDrain.
+func (d *drains) set(c SetDrain) Result {
+	if (c.VM == "") == (c.Region == "") {
+		return Rejected{Reason: "a drain needs either a VM or a region"}
+	}
+	if c.VM != "" {
+		d.VMs = mark(d.VMs, c.VM, c.Draining)
+	} else {
+		d.Regions = mark(d.Regions, c.Region, c.Draining)
+	}
+	return DrainResult{Draining: c.Draining}
+}
+
+func (d *drains) list() Drains {
+	return Drains{
+		VMs:     slices.Sorted(maps.Keys(d.VMs)),
+		Regions: slices.Sorted(maps.Keys(d.Regions)),
+	}
+}
+
+// mark adds a name to a set or removes it.
+func mark[K comparable](set map[K]bool, name K, in bool) map[K]bool {
+	if !in {
+		delete(set, name)
+		return set
+	}
+	if set == nil {
+		set = map[K]bool{}
+	}
+	set[name] = true
+	return set
+}
--- /dev/null
+++ b/coordination/shcontrol/revisions.go
@@ -0,0 +1,210 @@
+package shcontrol
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"sequoiahollow/state/shconfig"
+)
+
+const (
+	// historyLength is the number of revisions whose changes can be told apart.
+	historyLength = 1000
+
+	// keptEdits bounds the memory for resent edits: 3 days of edits at the
+	// design size of 66,000 a day. A resend after that is refused by its base
+	// revision, so it cannot revert anything.
+	keptEdits = 200_000
+)
+
+// Revision describes one accepted edit.
+type Revision struct {
+	Number uint64    `json:"number"`
+	EditID string    `json:"editId"`
+	Author string    `json:"author,omitempty"`
+	At     time.Time `json:"at"`
+}
+
+// Change leads from one revision of the configuration to a later one. Config
+// is set instead of Patch if From is too old or the patch would be larger.
+type Change struct {
+	From uint64 `json:"from"`
+	To   uint64 `json:"to"`
+	// Patch is an RFC 7396 merge patch of the JSON form of the configuration.
+	Patch  json.RawMessage  `json:"patch,omitempty"`
+	Config *shconfig.Config `json:"config,omitempty"`
+}
+
+// Apply returns base, which is the configuration at revision From, at To.
+func (c Change) Apply(base shconfig.Config) (shconfig.Config, error) {
+	if c.Config != nil {
+		return *c.Config, nil
+	}
+	changed, err := applyPatch(base, c.Patch)
+	if err != nil {
+		return base, &Error{Op: "apply change", Kind: Malformed, Err: err}
+	}
+	return changed, nil
+}
+
+func applyPatch(base shconfig.Config, patch []byte) (shconfig.Config, error) {
+	doc, err := document(base)
+	if err != nil {
+		return base, err
+	}
+	changes, err := parseObject(patch)
+	if err != nil {
+		return base, err
+	}
+	return parseConfig(mergePatch(doc, changes))
+}
+
+// revisions is the configuration with its history.
+type revisions struct {
+	Current uint64          `json:"current"`
+	Config  shconfig.Config `json:"config"`
+	History []pastEdit      `json:"history"`
+	// Edits finds accepted edits by edit ID.
+	Edits agingMap[string, acceptedEdit] `json:"edits"`
+
+	// changes caches the results of since for the current revision.
+	changes map[uint64]Change
+}
+
+// pastEdit is one revision with the patch that leads back to the one before.
+type pastEdit struct {
+	Revision
+	Undo json.RawMessage `json:"undo"`
+}
+
+// acceptedEdit is what a resend of an accepted edit is compared with.
+type acceptedEdit struct {
+	Revision uint64 `json:"revision"`
+	Sum      []byte `json:"sum"`
+}
+
+// edit applies an ApplyConfig.
+func (r *revisions) edit(at time.Time, c ApplyConfig) Result {
+	if c.EditID == "" {
+		return Rejected{Reason: "an edit needs an edit ID"}
+	}
+	next, err := document(c.Config)
+	if err != nil {
+		return Rejected{Reason: err.Error()}
+	}
+	sum, err := editSum(c.BaseRevision, next)
+	if err != nil {
+		return Rejected{Reason: err.Error()}
+	}
+	if first, ok := r.Edits.get(c.EditID); ok {
+		if !slices.Equal(first.Sum, sum) {
+			return Rejected{Reason: fmt.Sprintf("edit ID %q was used by another edit", c.EditID)}
+		}
+		return ConfigResult{Accepted: true, Revision: first.Revision, Config: c.Config}
+	}
+	if c.BaseRevision != r.Current {
+		return ConfigResult{Revision: r.Current, Config: r.Config}
+	}
+	undo, err := r.undo(next)
+	if err != nil {
+		return Rejected{Reason: err.Error()}
+	}
+	r.accept(at, c, undo, sum)
+	return ConfigResult{Accepted: true, Revision: r.Current, Config: r.Config}
+}
+
+func (r *revisions) accept(at time.Time, c ApplyConfig, undo, sum []byte) {
+	r.Current++
+	r.Config = c.Config
+	r.changes = nil
+	r.History = append(r.History, pastEdit{
+		Revision: Revision{Number: r.Current, EditID: c.EditID, Author: c.Author, At: at},
+		Undo:     undo,
+	})
+	if len(r.History) > historyLength {
+		r.History = slices.Clone(r.History[len(r.History)-historyLength:])
+	}
+	r.Edits.put(at, c.EditID, acceptedEdit{Revision: r.Current, Sum: sum})
+	if oldest, ok := r.Edits.oldest(); ok && r.Edits.size() > keptEdits {
+		r.Edits.remove(oldest.Key)
+	}
+}
+
+// undo returns the patch that leads from next to the current configuration.
+func (r *revisions) undo(next object) ([]byte, error) {
+	current, err := document(r.Config)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(diffPatch(next, current))
+}
+
+// editSum identifies the content of an edit.
+func editSum(base uint64, doc object) ([]byte, error) {
+	data, err := json.Marshal(struct {
+		Base     uint64
+		Document object
+	}{base, doc})
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(data)
+	return sum[:16], nil
+}
+
+// since returns the change from a revision to the current one. It reports
+// false if there is none.
+func (r *revisions) since(revision uint64) (Change, bool) {
+	if revision >= r.Current {
+		return Change{}, false
+	}
+	if c, ok := r.changes[revision]; ok {
+		return c, true
+	}
+	c := Change{From: revision, To: r.Current}
+	if patch := r.patchSince(revision); patch != nil {
+		c.Patch = patch
+	} else {
+		whole := r.Config
+		c.Config = &whole
+	}
+	if r.changes == nil {
+		r.changes = map[uint64]Change{}
+	}
+	r.changes[revision] = c
+	return c, true
+}
+
+// patchSince returns nil if the whole configuration is the better answer.
+func (r *revisions) patchSince(revision uint64) []byte {
+	if len(r.History) == 0 || revision+1 < r.History[0].Number {
+		return nil
+	}
+	current, err := document(r.Config)
+	if err != nil {
+		return nil
+	}
+	old := current
+	for _, e := range slices.Backward(r.History) {
+		if e.Number <= revision {
+			break
+		}
+		undo, err := parseObject(e.Undo)
+		if err != nil {
+			return nil
+		}
+		old = mergePatch(old, undo)
+	}
+	patch, err := json.Marshal(diffPatch(old, current))
+	if err != nil {
+		return nil
+	}
+	whole, err := json.Marshal(current)
+	if err != nil || len(patch) > len(whole) {
+		return nil
+	}
+	return patch
+}
--- /dev/null
+++ b/coordination/shcontrol/state.go
@@ -0,0 +1,180 @@
+package shcontrol
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+)
+
+// defaultClockError is the largest difference between the clocks of VMs if the
+// configuration does not say.
+const defaultClockError = 500 * time.Millisecond
+
+// State is the replicated state. The zero value is the state before the first
+// command. It has one owner at a time; results and views share configurations
+// with it, which nobody may modify.
+type State struct {
+	revisions revisions
+	claims    claims
+	grants    grants
+	ranges    ranges
+	strikes   strikes
+	drains    drains
+}
+
+// image is the JSON form of a State.
+type image struct {
+	Revisions *revisions `json:"revisions"`
+	Claims    *claims    `json:"claims"`
+	Grants    *grants    `json:"grants"`
+	Ranges    *ranges    `json:"ranges"`
+	Strikes   *strikes   `json:"strikes"`
+	Drains    *drains    `json:"drains"`
+}
+
+func (s *State) image() image {
+	return image{
+		Revisions: &s.revisions,
+		Claims:    &s.claims,
+		Grants:    &s.grants,
+		Ranges:    &s.ranges,
+		Strikes:   &s.strikes,
+		Drains:    &s.drains,
+	}
+}
+
+// Apply changes the state by a command with the time that the leader stamped
+// on it. Stamps may go back when the leader changes; no rule depends on their
+// order.
+func (s *State) Apply(at time.Time, c Command) Result {
+	at = canonical(at)
+	limits := s.revisions.Config.Limits
+	s.claims.expire(at, claimAge(limits))
+	switch c := c.(type) {
+	case ApplyConfig:
+		return s.revisions.edit(at, c)
+	case OpenClaim:
+		return s.claims.open(at, clockError(limits), c)
+	case CloseClaim:
+		return s.claims.end(at, c)
+	case SettleClaim:
+		return s.claims.settle(at, c)
+	case RequestGrant:
+		return s.grants.request(s.revisions.Config, c)
+	case ExpireGrant:
+		return s.grants.expire(c)
+	case ReserveRange:
+		return s.ranges.reserve(at, c)
+	case ReportCrash:
+		return s.strikes.report(at, rulesOf(limits), c)
+	case OpenSolo:
+		return s.strikes.open(at, rulesOf(limits), c)
+	case CloseSolo:
+		return s.strikes.end(at, rulesOf(limits), c)
+	case SetDrain:
+		return s.drains.set(c)
+	}
+	return Rejected{Reason: fmt.Sprintf("unknown command %T", c)}
+}
+
+// Snapshot returns the state as JSON. Equal states have equal snapshots.
+func (s *State) Snapshot() ([]byte, error) {
+	data, err := json.Marshal(s.image())
+	if err != nil {
+		return nil, &Error{Op: "snapshot", Kind: Unencodable, Err: err}
+	}
+	return data, nil
+}
+
+// Restore replaces the state by a snapshot. On an error the state is unchanged.
+func (s *State) Restore(data []byte) error {
+	var restored State
+	i := restored.image()
+	if err := decodeStrict(data, &i); err != nil {
+		return &Error{Op: "restore", Kind: Malformed, Err: err}
+	}
+	restored.grants.rebuild()
+	*s = restored
+	return nil
+}
+
+// Config returns the configuration in force and its revision.
+func (s *State) Config() (uint64, shconfig.Config) {
+	return s.revisions.Current, s.revisions.Config
+}
+
+// Changes returns the change from a revision to the current one. It reports
+// false if there is none.
+func (s *State) Changes(since uint64) (Change, bool) { return s.revisions.since(since) }
+
+// History returns the last 1,000 revisions, the oldest first.
+func (s *State) History() []Revision {
+	history := make([]Revision, 0, len(s.revisions.History))
+	for _, e := range s.revisions.History {
+		history = append(history, e.Revision)
+	}
+	return history
+}
+
+// Claim returns the state of a key. It reports false if the key was never
+// claimed.
+func (s *State) Claim(key shmodel.ClaimKey) (ClaimResult, bool) {
+	if held, ok := s.claims.Full.get(key); ok {
+		return held.result(), true
+	}
+	if s.claims.Used.has(key) {
+		return ClaimResult{Status: ClaimUsedBefore}, true
+	}
+	return ClaimResult{}, false
+}
+
+// Grants returns the active grants by ID.
+func (s *State) Grants() []Grant { return s.grants.list() }
+
+// Ranges returns all reserved ranges of request IDs, the lowest first.
+func (s *State) Ranges() []shrecord.Range { return s.ranges.list() }
+
+// Suspects returns the digests that do not run like any other, sorted.
+func (s *State) Suspects() []Suspect {
+	return s.strikes.list(rulesOf(s.revisions.Config.Limits))
+}
+
+// Drains returns the VMs and regions that drain.
+func (s *State) Drains() Drains { return s.drains.list() }
+
+func claimAge(l shconfig.Limits) time.Duration {
+	if l.ClaimHours <= 0 {
+		return defaultClaimAge
+	}
+	return time.Duration(l.ClaimHours) * time.Hour
+}
+
+func clockError(l shconfig.Limits) time.Duration {
+	if l.ClockErrorMS <= 0 {
+		return defaultClockError
+	}
+	return time.Duration(l.ClockErrorMS) * time.Millisecond
+}
+
+func rulesOf(l shconfig.Limits) strikeRules {
+	rules := strikeRules{limit: l.CrashLimit, clockError: clockError(l)}
+	if rules.limit <= 0 {
+		rules.limit = defaultCrashLimit
+	}
+	return rules
+}
+
+// canonical returns a time without monotonic reading and location, so that it
+// is equal to its decoded JSON form. A time that has no JSON form becomes zero;
+// it would make every later snapshot fail.
+func canonical(t time.Time) time.Time {
+	t = t.Round(0).UTC()
+	if t.Year() < 0 || t.Year() > 9999 {
+		return time.Time{}
+	}
+	return t
+}
