Check the whole settings at start

A process with a wrong place, address or token file would otherwise fail only when the mistake matters, for example after another VM is lost.

--- a/state/shsettings/settings.go
+++ b/state/shsettings/settings.go
@@ -1,12 +1,13 @@
 // Package shsettings is the settings of one process: its name, place, roles,
 // addresses, data folder and the control VMs that it knows from the start.
+//
+// Load reads and checks a settings file and reports every mistake at once,
+// with file, line and field. Settings.Warnings lists what is legal but lowers
+// availability. Relative paths are relative to the working folder of the
+// process.
 package shsettings
 
 import (
-	"bytes"
-	"encoding/json"
-	"fmt"
-	"os"
 	"slices"
 
 	"sequoiahollow/state/shmodel"
@@ -38,7 +39,9 @@
 	// PeerAddress serves jsonrpc2 between processes of the system.
 	PeerAddress string `json:"peerAddress"`
 	// OperatorAddress serves the operator interface, metrics and health.
-	OperatorAddress   string `json:"operatorAddress"`
+	OperatorAddress string `json:"operatorAddress"`
+	// OperatorTokenFile holds the bearer token of the operator interface. It
+	// must not be readable by other users of the VM.
 	OperatorTokenFile string `json:"operatorTokenFile"`
 	// Peers lists the VMs with the control or account role, itself included.
 	Peers []Peer `json:"peers"`
@@ -60,18 +63,3 @@
 
 // Has reports whether the process has a role.
 func (s Settings) Has(r Role) bool { return slices.Contains(s.Roles, r) }
-
-// Load reads a settings file. Unknown fields are errors.
-func Load(file string) (Settings, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return Settings{}, err
-	}
-	var s Settings
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return Settings{}, fmt.Errorf("%s: %w", file, err)
-	}
-	return s, nil
-}
