--- /dev/null
+++ b/cmd/sequoiahollow/main.go
@@ -0,0 +1,87 @@
+// Command sequoiahollow runs the roles of a VM and operates a deployment.
+//
+// Results go to standard output, logs and errors to standard error. With
+// --json, results and errors are JSON. The exit codes are the exit constants
+// of this package.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// commandLine is the whole command line.
+type commandLine struct {
+	JSON bool `name:"json" help:"Print results and errors as JSON."`
+
+	Serve  serveCommand `cmd:"" help:"Run the roles of a settings file until a signal, then stop gracefully."`
+	Config struct {
+		Check checkCommand `cmd:"" help:"Check a configuration folder offline and name every mistake."`
+	} `cmd:"" help:"Check, compare and change the configuration."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	// The first signal starts the graceful stop; the handler is then removed,
+	// so a second signal ends the process at once.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	code := run(ctx, os.Args[1:], streams{in: os.Stdin, out: os.Stdout, err: os.Stderr})
+	stop()
+	os.Exit(code)
+}
+
+// streams are the standard streams of a command.
+type streams struct {
+	in       io.Reader
+	out, err io.Writer
+}
+
+// environment is what every command gets.
+type environment struct {
+	streams
+	ctx  context.Context
+	json bool
+}
+
+// helpShown is the panic value that ends parsing after the help text. kong
+// expects its exit function not to return.
+type helpShown struct{ code int }
+
+// run parses and runs one command line and returns the exit code.
+func run(ctx context.Context, args []string, s streams) (code int) {
+	var line commandLine
+	parser, err := kong.New(&line,
+		kong.Name("sequoiahollow"),
+		kong.Description("Global traffic steering."),
+		kong.Writers(s.out, s.err),
+		kong.Exit(func(code int) { panic(helpShown{code}) }),
+	)
+	if err != nil {
+		fmt.Fprintln(s.err, err)
+		return exitFailure
+	}
+	defer func() {
+		switch reason := recover().(type) {
+		case nil:
+		case helpShown:
+			code = reason.code
+		default:
+			panic(reason)
+		}
+	}()
+	parsed, err := parser.Parse(args)
+	e := &environment{streams: s, ctx: ctx, json: line.JSON}
+	if err == nil {
+		err = parsed.Run(e)
+	} else {
+		err = &exitError{code: exitUsage, err: err}
+	}
+	return e.finish(err)
+}
