--- a/state/shconfig/load.go
+++ b/state/shconfig/load.go
@@ -68,7 +68,9 @@
 	var folder Folder
 	var problems Problems
 	complete := true
+	// What is missing in every file is reported against the folder.
 	merged := shdocument.NewObject()
+	merged.File = dir
 	for _, entry := range entries {
 		if reason := ignored(entry); reason != "" {
 			folder.Notices = append(folder.Notices, entry.Name()+": ignored, "+reason)
