--- a/state/shsettings/validate.go
+++ b/state/shsettings/validate.go
@@ -42,7 +42,7 @@
 	}
 	if voters%2 == 0 {
 		warnings = append(warnings, fmt.Sprintf(
-			"peers: %d control VMs survive no more losses than %d; an odd number is better", voters, voters-1))
+			"peers: %d control VMs survive no more failures than %d would; an odd number is better", voters, voters-1))
 	}
 	if len(domains) < 2 {
 		warnings = append(warnings,
