--- a/state/shrecord/record.go
+++ b/state/shrecord/record.go
@@ -49,6 +49,9 @@
 	RequestBytes  int64                 `json:"requestBytes,omitempty"`
 	AnswerBytes   int64                 `json:"answerBytes,omitempty"`
 	DurationUS    int64                 `json:"durationUs,omitempty"`
+	// Attempts is the number of attempts made, in a closing record. Zero does
+	// not state a number.
+	Attempts uint32 `json:"attempts,omitempty"`
 	// Replayed marks a closing record whose answer was a recorded one.
 	Replayed bool `json:"replayed,omitempty"`
 }
