--- /dev/null
+++ b/transport/shaccount/internal/shsegment/log.go
@@ -0,0 +1,373 @@
+// Package shsegment is an append-only log of entries in segment files.
+//
+// Entries have dense sequence numbers from 1. A segment is named by its first
+// sequence number. Append writes entries, Sync makes them durable; one sync
+// serves all callers that wait for it. Open truncates the torn tail of the last
+// segment and reads around damage elsewhere, which it reports.
+package shsegment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/zeebo/errs/v2"
+)
+
+// Classes of errors of this package.
+const (
+	// ErrFull tags an append that was refused because the disk is full. A later
+	// append may succeed.
+	ErrFull errs.Tag = "disk full"
+	// ErrFailed tags all calls after a failed write or sync. After a failed
+	// sync the kernel may have dropped the unsynced pages, so that a later
+	// successful sync would prove nothing.
+	ErrFailed errs.Tag = "log failed"
+	// ErrUnreadable tags an entry that is damaged.
+	ErrUnreadable errs.Tag = "entry unreadable"
+	// ErrTooLarge tags a payload above the limit of 1 MiB.
+	ErrTooLarge errs.Tag = "entry too large"
+	// ErrClosed tags calls after Close.
+	ErrClosed errs.Tag = "log closed"
+)
+
+const (
+	// DefaultSegmentBytes is the size at which a new segment starts.
+	DefaultSegmentBytes = 64 << 20
+	suffix              = ".segment"
+)
+
+// Location is where an entry is stored.
+type Location struct {
+	segment uint32
+	length  uint32
+	offset  int64
+}
+
+// Damage is a part of a segment that cannot be read. Entries with sequence
+// numbers from FirstSequence on are lost.
+type Damage struct {
+	Segment       string `json:"segment"`
+	Offset        int64  `json:"offset"`
+	Bytes         int64  `json:"bytes"`
+	FirstSequence uint64 `json:"firstSequence"`
+	Entries       uint64 `json:"entries"`
+}
+
+// OpenReport tells what Open found. TornBytes is the size of the torn tail that
+// was truncated.
+type OpenReport struct {
+	Entries   uint64   `json:"entries"`
+	TornBytes int64    `json:"tornBytes,omitempty"`
+	Damage    []Damage `json:"damage,omitempty"`
+}
+
+// Log is an open log. Its methods are safe for concurrent use.
+type Log struct {
+	folder       Folder
+	segmentBytes int64
+
+	mu    sync.Mutex
+	files []File
+	// size is the size of the last file, in bytes.
+	size   int64
+	last   uint64
+	synced uint64
+	// syncing is closed when the sync in progress ends; nil if there is none.
+	syncing chan struct{}
+	failed  error
+	closed  bool
+}
+
+// Open opens the log in folder and visits all intact entries in order.
+func Open(folder Folder, segmentBytes int64, visit func(Location, []byte) error) (*Log, OpenReport, error) {
+	l := &Log{folder: folder, segmentBytes: segmentBytes}
+	if l.segmentBytes <= 0 {
+		l.segmentBytes = DefaultSegmentBytes
+	}
+	report, err := l.load(visit)
+	if err != nil {
+		return nil, report, errors.Join(err, l.closeFiles())
+	}
+	return l, report, nil
+}
+
+func segmentName(first uint64) string { return fmt.Sprintf("%016x%s", first, suffix) }
+
+// segments returns the first sequence numbers of all segments in order.
+func (l *Log) segments() ([]uint64, error) {
+	names, err := l.folder.List()
+	if err != nil {
+		return nil, err
+	}
+	var firsts []uint64
+	for _, name := range names {
+		digits, ok := strings.CutSuffix(name, suffix)
+		if !ok {
+			continue
+		}
+		first, err := strconv.ParseUint(digits, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("segment %q: %w", name, err)
+		}
+		firsts = append(firsts, first)
+	}
+	slices.Sort(firsts)
+	return firsts, nil
+}
+
+func (l *Log) load(visit func(Location, []byte) error) (OpenReport, error) {
+	var report OpenReport
+	firsts, err := l.segments()
+	if err != nil {
+		return report, err
+	}
+	if len(firsts) == 0 {
+		return report, l.addSegment(1)
+	}
+	if firsts[0] > 1 {
+		report.Damage = append(report.Damage, Damage{Segment: segmentName(1), FirstSequence: 1, Entries: firsts[0] - 1})
+	}
+	for i, first := range firsts {
+		next := uint64(0)
+		if i+1 < len(firsts) {
+			next = firsts[i+1]
+		}
+		if err := l.loadSegment(first, next, visit, &report); err != nil {
+			return report, err
+		}
+	}
+	// What a crash left unsynced is synced before anything is acknowledged.
+	if err := l.files[len(l.files)-1].Sync(); err != nil {
+		return report, ErrFailed.Wrap(err)
+	}
+	l.synced = l.last
+	return report, nil
+}
+
+// loadSegment reads one segment. following is the first sequence number of the
+// next segment, or 0 for the last segment.
+func (l *Log) loadSegment(first, following uint64, visit func(Location, []byte) error, report *OpenReport) error {
+	name := segmentName(first)
+	f, err := l.folder.Open(name)
+	if err != nil {
+		return err
+	}
+	index := uint32(len(l.files))
+	l.files = append(l.files, f)
+	size, err := f.Size()
+	if err != nil {
+		return err
+	}
+	data := make([]byte, size)
+	if _, err := f.ReadAt(data, 0); err != nil && !errors.Is(err, io.EOF) {
+		return fmt.Errorf("segment %q: %w", name, err)
+	}
+	s, err := scanSegment(data, first, func(offset int64, payload []byte) error {
+		report.Entries++
+		return visit(Location{segment: index, length: uint32(len(payload)), offset: offset}, payload)
+	})
+	if err != nil {
+		return err
+	}
+	for _, d := range s.damage {
+		d.Segment = name
+		report.Damage = append(report.Damage, d)
+	}
+	l.last, l.size = s.next-1, s.end
+	tail := size - s.end
+	if following != 0 {
+		if tail > 0 || s.next < following {
+			lost := following - min(s.next, following)
+			report.Damage = append(report.Damage, Damage{Segment: name, Offset: s.end, Bytes: tail, FirstSequence: s.next, Entries: lost})
+		}
+		return nil
+	}
+	if tail > 0 {
+		report.TornBytes = tail
+		return f.Truncate(s.end)
+	}
+	return nil
+}
+
+// addSegment starts a new segment.
+func (l *Log) addSegment(first uint64) error {
+	f, err := l.folder.Open(segmentName(first))
+	if err != nil {
+		return err
+	}
+	if err := l.folder.Sync(); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	l.files = append(l.files, f)
+	l.size = 0
+	return nil
+}
+
+// rotate starts a new segment if the current one is large enough. It leaves the
+// segment as it is while a sync is in progress, because only one of two syncs
+// of a file is told about a failed write.
+func (l *Log) rotate() error {
+	if l.size < l.segmentBytes || l.syncing != nil {
+		return nil
+	}
+	if err := l.files[len(l.files)-1].Sync(); err != nil {
+		l.failed = ErrFailed.Wrap(err)
+		return l.failed
+	}
+	l.synced = l.last
+	return l.classify(l.addSegment(l.last + 1))
+}
+
+// classify marks the log as failed unless err is a full disk.
+func (l *Log) classify(err error) error {
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return ErrFull.Wrap(err)
+	}
+	l.failed = ErrFailed.Wrap(err)
+	return l.failed
+}
+
+func (l *Log) usable() error {
+	if l.closed {
+		return ErrClosed.Errorf("append")
+	}
+	return l.failed
+}
+
+// Append writes payloads, all or none. They are durable once Sync(Last())
+// returned nil.
+func (l *Log) Append(payloads [][]byte) ([]Location, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.usable(); err != nil {
+		return nil, err
+	}
+	if err := l.rotate(); err != nil {
+		return nil, err
+	}
+	var buffer []byte
+	locations := make([]Location, len(payloads))
+	for i, p := range payloads {
+		if len(p) > maxPayloadBytes {
+			return nil, ErrTooLarge.Errorf("%d bytes", len(p))
+		}
+		locations[i] = Location{segment: uint32(len(l.files) - 1), length: uint32(len(p)), offset: l.size + int64(len(buffer))}
+		buffer = appendEntry(buffer, l.last+1+uint64(i), p)
+	}
+	f := l.files[len(l.files)-1]
+	if _, err := f.WriteAt(buffer, l.size); err != nil {
+		if truncateErr := f.Truncate(l.size); truncateErr != nil {
+			l.failed = ErrFailed.Wrap(errors.Join(err, truncateErr))
+			return nil, l.failed
+		}
+		return nil, l.classify(err)
+	}
+	l.size += int64(len(buffer))
+	l.last += uint64(len(payloads))
+	return locations, nil
+}
+
+// Last returns the sequence number of the last entry.
+func (l *Log) Last() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last
+}
+
+// Sync returns once all entries up to sequence are durable.
+func (l *Log) Sync(ctx context.Context, sequence uint64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		switch {
+		case l.failed != nil:
+			return l.failed
+		case l.synced >= sequence:
+			return nil
+		case l.closed:
+			return ErrClosed.Errorf("sync")
+		case l.syncing == nil:
+			l.lead()
+		default:
+			wait := l.syncing
+			l.mu.Unlock()
+			select {
+			case <-wait:
+			case <-ctx.Done():
+			}
+			l.mu.Lock()
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// lead syncs for all callers. It releases the lock during the sync.
+func (l *Log) lead() {
+	done := make(chan struct{})
+	l.syncing = done
+	through, f := l.last, l.files[len(l.files)-1]
+	l.mu.Unlock()
+	err := f.Sync()
+	l.mu.Lock()
+	l.syncing = nil
+	if err != nil {
+		l.failed = ErrFailed.Wrap(err)
+	} else {
+		l.synced = max(l.synced, through)
+	}
+	close(done)
+}
+
+// Read returns the payload at a location.
+func (l *Log) Read(at Location) ([]byte, error) {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return nil, ErrClosed.Errorf("read")
+	}
+	f := l.files[at.segment]
+	l.mu.Unlock()
+	data := make([]byte, headerBytes+int(at.length))
+	if _, err := f.ReadAt(data, at.offset); err != nil {
+		return nil, ErrUnreadable.Wrap(err)
+	}
+	_, payload, ok := decodeEntry(data)
+	if !ok {
+		return nil, ErrUnreadable.Errorf("checksum mismatch at offset %d", at.offset)
+	}
+	return payload, nil
+}
+
+// Close syncs and closes the log.
+func (l *Log) Close() error {
+	err := l.Sync(context.Background(), l.Last())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	return errors.Join(err, l.closeFiles())
+}
+
+func (l *Log) closeFiles() error {
+	var group errs.Group
+	for _, f := range l.files {
+		if f != nil {
+			group.Add(f.Close())
+		}
+	}
+	return group.Err()
+}
