--- /dev/null
+++ b/transport/shaccount/outbox.go
@@ -0,0 +1,478 @@
+package shaccount
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"sequoiahollow/coordination/shreplication"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+)
+
+// Level is what Write waits for.
+type Level = shreplication.Level
+
+// Levels.
+const (
+	// Deferred returns at once.
+	Deferred = shreplication.Deferred
+	// Copied waits until one VM in another failure domain holds the records.
+	Copied = shreplication.Copied
+	// Durable waits until two account VMs in two failure domains have synced
+	// the records.
+	Durable = shreplication.Durable
+)
+
+const (
+	// DefaultMaxBytes bounds the records that an outbox holds.
+	DefaultMaxBytes = 64 << 20
+	// DefaultGroupDelay is the longest time that records wait for others while
+	// earlier batches are on their way.
+	DefaultGroupDelay = time.Millisecond
+	// deferredDelay groups records that no caller waits for.
+	deferredDelay = 10 * time.Millisecond
+	// releaseDelay groups releases; a late one only costs memory at the target.
+	releaseDelay = 50 * time.Millisecond
+	// releaseTimeout bounds a release message. A lost one is made good by the
+	// Oldest field of the next append.
+	releaseTimeout = time.Second
+	// maxGroupRecords and maxGroupBytes bound a batch.
+	maxGroupRecords = 1000
+	maxGroupBytes   = 256 << 10
+	// groupsOnTheWay is the number of batches per level that may be on their
+	// way before further records are grouped.
+	groupsOnTheWay = 2
+	// reserveDivisor sets the part of MaxBytes that is kept for records of
+	// requests that were admitted before the outbox filled up: one quarter.
+	reserveDivisor = 4
+	// admissionDivisor sets the part of the space for openings that has to be
+	// free for a new request: one sixteenth. Requests admitted at the same time
+	// share it.
+	admissionDivisor = 16
+	// recordBytes is the size in memory of a Record without its strings.
+	recordBytes = 400
+)
+
+// Replicator carries messages to the account role of other VMs.
+type Replicator interface {
+	Append(ctx context.Context, target shmodel.VM, request AppendRequest) (AppendResponse, error)
+	Release(ctx context.Context, target shmodel.VM, request ReleaseRequest) error
+}
+
+// OutboxOptions are the options of an Outbox. Zero values select the defaults.
+type OutboxOptions struct {
+	Replication shreplication.Config
+	// MaxBytes bounds the records in memory. A quarter of it is kept for
+	// records other than openings and refusals.
+	MaxBytes   int64
+	GroupDelay time.Duration
+	// Incarnation tells the processes of a VM apart; a random one is chosen if
+	// it is 0.
+	Incarnation uint64
+}
+
+// Outbox brings the records of this VM to account VMs. Its methods are safe for
+// concurrent use.
+type Outbox struct {
+	options    OutboxOptions
+	replicator Replicator
+	origin     Origin
+	// ctx ends all messages.
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+
+	mu      sync.Mutex
+	machine *shreplication.Machine
+	tick    *time.Timer
+	tickAt  time.Time
+	next    uint64
+	batches map[uint64]*group
+	// pending holds, per level, the group that is not submitted yet.
+	pending  [3]*group
+	onTheWay [3]int
+	bytes    int64
+	releases map[shmodel.VM][]uint64
+	closed   bool
+	// idle is closed when nothing is owed; it exists only while Close waits.
+	idle chan struct{}
+}
+
+// group is a batch of records with its submitters.
+type group struct {
+	level   Level
+	records []shrecord.Record
+	bytes   int64
+	timer   *time.Timer
+	// done is closed once err is set.
+	done    chan struct{}
+	err     error
+	settled bool
+}
+
+// NewOutbox returns an Outbox without targets.
+func NewOutbox(replicator Replicator, options OutboxOptions) *Outbox {
+	if options.MaxBytes <= 0 {
+		options.MaxBytes = DefaultMaxBytes
+	}
+	if options.GroupDelay <= 0 {
+		options.GroupDelay = DefaultGroupDelay
+	}
+	for options.Incarnation == 0 {
+		options.Incarnation = rand.Uint64()
+	}
+	o := &Outbox{
+		options:    options,
+		replicator: replicator,
+		origin:     Origin{VM: options.Replication.Self, Incarnation: options.Incarnation},
+		machine:    shreplication.New(options.Replication),
+		next:       1,
+		batches:    make(map[uint64]*group),
+		releases:   make(map[shmodel.VM][]uint64),
+	}
+	o.ctx, o.cancel = context.WithCancel(context.Background())
+	return o
+}
+
+// SetTargets replaces the VMs that may take records.
+func (o *Outbox) SetTargets(targets []shreplication.Target) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.handle(shreplication.TargetsChanged{Targets: targets})
+}
+
+// Ready returns nil if a new request can be admitted: the outbox has space and
+// some target is reachable. It is meant to be called before a request ID is
+// taken, so that a refusal leaves no gap.
+func (o *Outbox) Ready() error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case o.closed:
+		return &Error{Op: "ready", Kind: Closed}
+	case o.bytes > o.admissionBytes()-o.admissionBytes()/admissionDivisor:
+		return &Error{Op: "ready", Kind: Full}
+	case !o.machine.Reachable(time.Now()):
+		return &Error{Op: "ready", Kind: Unreachable}
+	}
+	return nil
+}
+
+// Owed returns the number of records and bytes that are not yet synced on two
+// account VMs.
+func (o *Outbox) Owed() (records int, bytes int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, g := range o.batches {
+		records += len(g.records)
+	}
+	for _, g := range o.pending {
+		if g != nil {
+			records += len(g.records)
+		}
+	}
+	return records, o.bytes
+}
+
+// Write brings records to level. All levels end with the records synced on two
+// account VMs in two failure domains. Kinds of errors: Invalid, Full and Closed
+// say that the records were not taken; Unreachable and Canceled say that the
+// level is not reached yet, while the outbox keeps the records and goes on.
+func (o *Outbox) Write(ctx context.Context, records []shrecord.Record, level Level) error {
+	size, err := measure(records)
+	if err != nil || len(records) == 0 {
+		return err
+	}
+	if level > Durable {
+		return &Error{Op: "write", Kind: Invalid, Err: errors.New("level is not known")}
+	}
+	g, err := o.enqueue(records, size, level)
+	if err != nil || level == Deferred {
+		return err
+	}
+	select {
+	case <-g.done:
+		return g.err
+	case <-ctx.Done():
+		return &Error{Op: "write", Kind: Canceled, Err: ctx.Err()}
+	}
+}
+
+// measure validates records and returns their size in memory.
+func measure(records []shrecord.Record) (int64, error) {
+	var size int64
+	for _, r := range records {
+		if err := r.Validate(); err != nil {
+			return 0, &Error{Op: "write", Kind: Invalid, Err: err}
+		}
+		text := len(r.Path) + len(r.Key) + len(r.Caller) + len(r.Reason) + len(r.BackendServer)
+		if text > maxGroupBytes {
+			return 0, &Error{Op: "write", Kind: Invalid, Err: errors.New("record is too large")}
+		}
+		size += int64(recordBytes + text)
+	}
+	return size, nil
+}
+
+func (o *Outbox) admissionBytes() int64 {
+	return o.options.MaxBytes - o.options.MaxBytes/reserveDivisor
+}
+
+// limitFor returns the bytes that may be in use with records added.
+func (o *Outbox) limitFor(records []shrecord.Record) int64 {
+	for _, r := range records {
+		if r.Kind == shrecord.Opened || r.Kind == shrecord.Refused {
+			return o.admissionBytes()
+		}
+	}
+	return o.options.MaxBytes
+}
+
+// enqueue adds records to the pending group of their level and submits it if
+// nothing speaks for waiting.
+func (o *Outbox) enqueue(records []shrecord.Record, size int64, level Level) (*group, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return nil, &Error{Op: "write", Kind: Closed}
+	}
+	if o.bytes+size > o.limitFor(records) {
+		return nil, &Error{Op: "write", Kind: Full}
+	}
+	o.bytes += size
+	g := o.pending[level]
+	if g == nil {
+		g = &group{level: level, done: make(chan struct{})}
+		o.pending[level] = g
+	}
+	g.records = append(g.records, records...)
+	g.bytes += size
+	full := len(g.records) >= maxGroupRecords || g.bytes >= maxGroupBytes
+	switch {
+	case full, level != Deferred && o.onTheWay[level] < groupsOnTheWay:
+		o.submit(level)
+	case g.timer == nil:
+		delay := o.options.GroupDelay
+		if level == Deferred {
+			delay = deferredDelay
+		}
+		g.timer = time.AfterFunc(delay, func() { o.submitGroup(g) })
+	}
+	return g, nil
+}
+
+// submitGroup submits g if it is still pending.
+func (o *Outbox) submitGroup(g *group) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.pending[g.level] == g {
+		o.submit(g.level)
+	}
+}
+
+// submit hands the pending group of level to the machine.
+func (o *Outbox) submit(level Level) {
+	g := o.pending[level]
+	if g == nil {
+		return
+	}
+	o.pending[level] = nil
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+	id := o.next
+	o.next++
+	o.batches[id] = g
+	o.onTheWay[level]++
+	o.handle(shreplication.Submitted{Batch: id, Level: level})
+}
+
+// handle passes an event to the machine and carries out the effects. The lock
+// is held.
+func (o *Outbox) handle(event shreplication.Event) {
+	now := time.Now()
+	for _, effect := range o.machine.Handle(now, event) {
+		switch e := effect.(type) {
+		case shreplication.Append:
+			o.send(e)
+		case shreplication.Reached:
+			o.settle(o.batches[e.Batch], nil)
+		case shreplication.GaveUp:
+			o.settle(o.batches[e.Batch], &Error{Op: "write", Kind: Unreachable})
+		case shreplication.Released:
+			o.release(e)
+		}
+	}
+	o.arm(now)
+}
+
+// arm sets the timer for the next tick.
+func (o *Outbox) arm(now time.Time) {
+	at, ok := o.machine.Next(now)
+	if !ok || o.closed && o.idle == nil {
+		return
+	}
+	if !o.tickAt.IsZero() && !at.Before(o.tickAt) {
+		return
+	}
+	if o.tick != nil {
+		o.tick.Stop()
+	}
+	o.tickAt = at
+	o.tick = time.AfterFunc(at.Sub(now), func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.ctx.Err() != nil {
+			return
+		}
+		o.tickAt = time.Time{}
+		o.handle(shreplication.Tick{})
+	})
+}
+
+func (o *Outbox) settle(g *group, err error) {
+	if g.settled {
+		return
+	}
+	g.settled, g.err = true, err
+	close(g.done)
+	o.onTheWay[g.level]--
+	if g.level != Deferred {
+		o.submit(g.level)
+	}
+}
+
+// send starts an append in its own goroutine.
+func (o *Outbox) send(e shreplication.Append) {
+	g := o.batches[e.Batch]
+	request := AppendRequest{
+		Origin: o.origin, Batch: e.Batch, Oldest: o.machine.Oldest(e.Batch),
+		Sync: e.Sync, Confirm: e.Held,
+	}
+	if !e.Held {
+		request.Records = g.records
+	}
+	o.work.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, e.Timeout)
+		defer cancel()
+		response, err := o.replicator.Append(ctx, e.Target, request)
+		event := outcome(e, response, err)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.ctx.Err() == nil {
+			o.handle(event)
+		}
+	})
+}
+
+// outcome translates the result of an append.
+func outcome(e shreplication.Append, response AppendResponse, err error) shreplication.Event {
+	kind := response.Refused
+	if err != nil {
+		kind = KindOf(err)
+	}
+	switch {
+	case err == nil && kind == "" && (response.Synced || !e.Sync):
+		return shreplication.Appended{Batch: e.Batch, Target: e.Target, Synced: response.Synced}
+	case kind == Stale:
+		return shreplication.AppendFailed{Batch: e.Batch, Target: e.Target, Reason: shreplication.BatchLost}
+	case kind == Invalid, kind == NoDisk:
+		return shreplication.AppendFailed{Batch: e.Batch, Target: e.Target, Reason: shreplication.BatchRefused}
+	}
+	return shreplication.AppendFailed{Batch: e.Batch, Target: e.Target, Reason: shreplication.TargetFailed}
+}
+
+// release drops a batch and notes the release for its targets.
+func (o *Outbox) release(e shreplication.Released) {
+	g := o.batches[e.Batch]
+	delete(o.batches, e.Batch)
+	o.bytes -= g.bytes
+	if len(o.releases) == 0 && !o.closed {
+		time.AfterFunc(releaseDelay, o.sendReleases)
+	}
+	for _, vm := range e.Targets {
+		o.releases[vm] = append(o.releases[vm], e.Batch)
+	}
+	if o.idle != nil && len(o.batches) == 0 {
+		close(o.idle)
+		o.idle = nil
+	}
+}
+
+// sendReleases sends the noted releases.
+func (o *Outbox) sendReleases() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	releases := o.releases
+	o.releases = make(map[shmodel.VM][]uint64)
+	if o.ctx.Err() != nil {
+		return
+	}
+	oldest := o.machine.Oldest(o.next)
+	for vm, batches := range releases {
+		request := ReleaseRequest{Origin: o.origin, Oldest: oldest, Batches: batches}
+		o.work.Go(func() {
+			ctx, cancel := context.WithTimeout(o.ctx, releaseTimeout)
+			defer cancel()
+			// Oldest of a later message replaces a lost release.
+			_ = o.replicator.Release(ctx, vm, request)
+		})
+	}
+}
+
+// Close submits what is pending and waits until nothing is owed or ctx ends. It
+// returns an Unreachable error if records are still owed; the other VMs that
+// hold them may adopt them.
+func (o *Outbox) Close(ctx context.Context) error {
+	idle, err := o.startClose()
+	if err != nil {
+		return err
+	}
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		err = &Error{Op: "close", Kind: Unreachable, Err: ctx.Err()}
+	}
+	if err == nil {
+		o.sendReleases()
+		o.work.Wait()
+	}
+	o.mu.Lock()
+	o.cancel()
+	o.idle = nil
+	if o.tick != nil {
+		o.tick.Stop()
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.batches)) {
+		o.settle(o.batches[id], &Error{Op: "write", Kind: Closed})
+	}
+	o.mu.Unlock()
+	o.work.Wait()
+	return err
+}
+
+// startClose refuses further records and returns a channel that is closed when
+// nothing is owed.
+func (o *Outbox) startClose() (<-chan struct{}, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return nil, &Error{Op: "close", Kind: Closed}
+	}
+	idle := make(chan struct{})
+	o.idle = idle
+	o.closed = true
+	for level := range o.pending {
+		o.submit(Level(level))
+	}
+	if len(o.batches) == 0 && o.idle != nil {
+		close(o.idle)
+		o.idle = nil
+	}
+	return idle, nil
+}
--- /dev/null
+++ b/transport/shaccount/store.go
@@ -0,0 +1,431 @@
+package shaccount
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"sequoiahollow/state/shrecord"
+	"sequoiahollow/transport/shaccount/internal/shsegment"
+)
+
+const (
+	// PageLimit is the largest number of records in a page.
+	PageLimit = 1000
+	// DefaultMemoryRecords bounds a store without data folder.
+	DefaultMemoryRecords = 100_000
+	// DefaultSyncDelay is the longest time that records without a waiting sync
+	// stay unsynced.
+	DefaultSyncDelay = 20 * time.Millisecond
+	// maxVMs is the number of VM names that a store can hold.
+	maxVMs = 1 << 16
+)
+
+// StoreOptions are the options of a Store. Zero values select the defaults.
+type StoreOptions struct {
+	// Folder is the folder of the segments; it is created if missing. Without
+	// it the store holds records in memory until they are released.
+	Folder       string
+	SegmentBytes int64
+	// MemoryRecords bounds the records of a store without folder.
+	MemoryRecords int
+	SyncDelay     time.Duration
+
+	// folder replaces Folder in tests.
+	folder shsegment.Folder
+}
+
+// Store takes the account records of entry VMs. With a data folder it keeps
+// them for good; without one it holds them in memory until they are released.
+// Its methods are safe for concurrent use.
+type Store struct {
+	options StoreOptions
+	// log is nil without a data folder.
+	log    *shsegment.Log
+	opened shsegment.OpenReport
+
+	mu    sync.Mutex
+	index index
+	// owed holds the batches of each origin that are not released.
+	owed      map[Origin]map[uint64][]key
+	syncTimer *time.Timer
+	closed    bool
+}
+
+// OpenStore opens a store. A torn tail is truncated; damage elsewhere is read
+// around and listed by Opened.
+func OpenStore(options StoreOptions) (*Store, error) {
+	s := &Store{options: options, owed: make(map[Origin]map[uint64][]key)}
+	if s.options.MemoryRecords <= 0 {
+		s.options.MemoryRecords = DefaultMemoryRecords
+	}
+	if s.options.SyncDelay <= 0 {
+		s.options.SyncDelay = DefaultSyncDelay
+	}
+	folder, err := s.options.open()
+	if err != nil {
+		return nil, &Error{Op: "open", Kind: Failed, Err: err}
+	}
+	if folder == nil {
+		return s, nil
+	}
+	s.log, s.opened, err = shsegment.Open(folder, options.SegmentBytes, s.load)
+	if err != nil {
+		return nil, &Error{Op: "open", Kind: Failed, Err: err}
+	}
+	return s, nil
+}
+
+// load adds a stored record to the index.
+func (s *Store) load(at shsegment.Location, payload []byte) error {
+	var r shrecord.Record
+	if err := json.Unmarshal(payload, &r); err != nil {
+		return fmt.Errorf("record with a valid checksum: %w", err)
+	}
+	s.index.put(s.index.key(r.Identity(), contentOf(payload)), entry{location: at})
+	return nil
+}
+
+// open returns the folder of the segments, or nil for a store in memory.
+func (o StoreOptions) open() (shsegment.Folder, error) {
+	if o.folder != nil || o.Folder == "" {
+		return o.folder, nil
+	}
+	if err := os.MkdirAll(o.Folder, 0o750); err != nil {
+		return nil, err
+	}
+	return shsegment.Directory(o.Folder), nil
+}
+
+// Durable reports whether the store has a data folder.
+func (s *Store) Durable() bool { return s.log != nil }
+
+// Opened tells what was found when the store was opened.
+func (s *Store) Opened() shsegment.OpenReport { return s.opened }
+
+// Records returns the number of records held.
+func (s *Store) Records() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.index.size
+}
+
+// Append takes a batch, all or none of it. Records that are held already are
+// not stored again, so a batch may be resent. Kinds of errors: Invalid, Full,
+// Failed, NoDisk, Stale, Closed, Canceled.
+func (s *Store) Append(ctx context.Context, request AppendRequest) (AppendResponse, error) {
+	if request.Sync && s.log == nil {
+		return AppendResponse{}, &Error{Op: "append", Kind: NoDisk}
+	}
+	duplicates, err := s.take(request)
+	if err != nil {
+		return AppendResponse{}, err
+	}
+	response := AppendResponse{Duplicates: duplicates}
+	if !request.Sync {
+		s.syncLater()
+		return response, nil
+	}
+	if err := s.log.Sync(ctx, s.log.Last()); err != nil {
+		return AppendResponse{}, storeError("append", err)
+	}
+	response.Synced = true
+	return response, nil
+}
+
+// HandleAppend is Append for a server: errors with a Kind are carried in the
+// response.
+func (s *Store) HandleAppend(ctx context.Context, request AppendRequest) (AppendResponse, error) {
+	response, err := s.Append(ctx, request)
+	if kind := KindOf(err); kind != "" {
+		return AppendResponse{Refused: kind, Reason: err.Error()}, nil
+	}
+	return response, err
+}
+
+// storeError gives an error of the log its kind.
+func storeError(op string, err error) error {
+	kind := Failed
+	switch {
+	case errors.Is(err, shsegment.ErrFull):
+		kind = Full
+	case errors.Is(err, shsegment.ErrTooLarge):
+		kind = Invalid
+	case errors.Is(err, shsegment.ErrClosed):
+		kind = Closed
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		kind = Canceled
+	}
+	return &Error{Op: op, Kind: kind, Err: err}
+}
+
+// encodeAll validates and encodes records.
+func encodeAll(records []shrecord.Record) ([][]byte, error) {
+	encoded := make([][]byte, len(records))
+	for i, r := range records {
+		if err := r.Validate(); err != nil {
+			return nil, &Error{Op: "append", Kind: Invalid, Err: err}
+		}
+		e, err := r.Encode()
+		if err != nil {
+			return nil, &Error{Op: "append", Kind: Invalid, Err: err}
+		}
+		encoded[i] = e
+	}
+	return encoded, nil
+}
+
+// take stores the new records of a batch and notes that the batch is owed.
+func (s *Store) take(request AppendRequest) (duplicates int, err error) {
+	encoded, err := encodeAll(request.Records)
+	if err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return 0, &Error{Op: "append", Kind: Closed}
+	}
+	s.releaseBelow(request.Origin, request.Oldest)
+	if request.Confirm {
+		if _, ok := s.owed[request.Origin][request.Batch]; !ok {
+			return 0, &Error{Op: "append", Kind: Stale}
+		}
+		return 0, nil
+	}
+	keys := make([]key, len(request.Records))
+	added := make(map[key]int, len(keys))
+	var payloads [][]byte
+	for i, r := range request.Records {
+		if len(s.index.names) >= maxVMs {
+			return 0, &Error{Op: "append", Kind: Full, Err: errors.New("too many VM names")}
+		}
+		keys[i] = s.index.key(r.Identity(), contentOf(encoded[i]))
+		if _, ok := added[keys[i]]; ok || s.index.has(keys[i]) {
+			duplicates++
+			continue
+		}
+		added[keys[i]] = i
+		payloads = append(payloads, encoded[i])
+	}
+	if err := s.write(request.Records, keys, added, payloads); err != nil {
+		return 0, err
+	}
+	if s.owed[request.Origin] == nil {
+		s.owed[request.Origin] = make(map[uint64][]key)
+	}
+	s.owed[request.Origin][request.Batch] = keys
+	return duplicates, nil
+}
+
+// write stores the records with the keys in added, in the order of keys.
+func (s *Store) write(records []shrecord.Record, keys []key, added map[key]int, payloads [][]byte) error {
+	if len(payloads) == 0 {
+		return nil
+	}
+	if s.log == nil {
+		if s.index.size+len(payloads) > s.options.MemoryRecords {
+			return &Error{Op: "append", Kind: Full}
+		}
+		for k, i := range added {
+			r := records[i]
+			s.index.put(k, entry{record: &r})
+		}
+		return nil
+	}
+	locations, err := s.log.Append(payloads)
+	if err != nil {
+		return storeError("append", err)
+	}
+	next := 0
+	for i, k := range keys {
+		if added[k] != i || s.index.has(k) {
+			continue
+		}
+		s.index.put(k, entry{location: locations[next]})
+		next++
+	}
+	return nil
+}
+
+// syncLater syncs records that no caller waits for, after a short delay.
+func (s *Store) syncLater() {
+	if s.log == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.syncTimer != nil || s.closed {
+		return
+	}
+	s.syncTimer = time.AfterFunc(s.options.SyncDelay, func() {
+		s.mu.Lock()
+		s.syncTimer = nil
+		s.mu.Unlock()
+		// A failure is kept by the log and refuses every later call.
+		_ = s.log.Sync(context.Background(), s.log.Last())
+	})
+}
+
+// Read returns a page of records in the order of export.
+func (s *Store) Read(_ context.Context, request ReadRequest) (ReadResponse, error) {
+	limit := request.Limit
+	if limit <= 0 || limit > PageLimit {
+		limit = PageLimit
+	}
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return ReadResponse{}, &Error{Op: "read", Kind: Closed}
+	}
+	keys := s.index.page(request, limit)
+	entries := make([]entry, len(keys))
+	ids := make([]shrecord.Identity, len(keys))
+	for i, k := range keys {
+		entries[i], _ = s.index.get(k)
+		ids[i] = s.index.identity(k)
+	}
+	s.mu.Unlock()
+	response := ReadResponse{Done: len(keys) < limit}
+	for i, e := range entries {
+		r, err := s.record(e)
+		if errors.Is(err, shsegment.ErrUnreadable) {
+			response.Unreadable = append(response.Unreadable, ids[i])
+			continue
+		}
+		if err != nil {
+			return ReadResponse{}, storeError("read", err)
+		}
+		response.Records = append(response.Records, r)
+	}
+	if len(keys) > 0 {
+		last := len(keys) - 1
+		response.Next = Cursor{Identity: ids[last], Content: keys[last].content}
+	}
+	return response, nil
+}
+
+func (s *Store) record(e entry) (shrecord.Record, error) {
+	if e.record != nil {
+		return *e.record, nil
+	}
+	payload, err := s.log.Read(e.location)
+	if err != nil {
+		return shrecord.Record{}, err
+	}
+	var r shrecord.Record
+	return r, json.Unmarshal(payload, &r)
+}
+
+// Release ends the duty to hold batches. A store without data folder drops
+// their records.
+func (s *Store) Release(_ context.Context, request ReleaseRequest) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releaseBelow(request.Origin, request.Oldest)
+	for _, b := range request.Batches {
+		s.release(request.Origin, b)
+	}
+	return nil
+}
+
+func (s *Store) releaseBelow(origin Origin, oldest uint64) {
+	for b := range s.owed[origin] {
+		if b < oldest {
+			s.release(origin, b)
+		}
+	}
+}
+
+func (s *Store) release(origin Origin, batch uint64) {
+	keys := s.owed[origin][batch]
+	delete(s.owed[origin], batch)
+	if len(s.owed[origin]) == 0 {
+		delete(s.owed, origin)
+	}
+	if s.log != nil {
+		return
+	}
+	for _, k := range keys {
+		s.index.remove(k)
+	}
+}
+
+// Origins returns the origins with batches that are not released, in order.
+func (s *Store) Origins() []Origin {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	origins := slices.Collect(maps.Keys(s.owed))
+	slices.SortFunc(origins, func(a, b Origin) int {
+		return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return origins
+}
+
+// Adopt hands the batches of a process that has ended to outbox, which brings
+// them to two account VMs in its place. Every VM that holds such batches may
+// adopt them: appends are idempotent. It stops at the first error of outbox.
+func (s *Store) Adopt(ctx context.Context, origin Origin, outbox *Outbox) error {
+	s.mu.Lock()
+	batches := slices.Sorted(maps.Keys(s.owed[origin]))
+	s.mu.Unlock()
+	for _, b := range batches {
+		records, err := s.batch(origin, b)
+		if err != nil {
+			return err
+		}
+		if err := outbox.Write(ctx, records, Deferred); err != nil {
+			return err
+		}
+		s.mu.Lock()
+		s.release(origin, b)
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// batch returns the readable records of an owed batch.
+func (s *Store) batch(origin Origin, batch uint64) ([]shrecord.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var records []shrecord.Record
+	for _, k := range s.owed[origin][batch] {
+		e, ok := s.index.get(k)
+		if !ok {
+			continue
+		}
+		r, err := s.record(e)
+		if errors.Is(err, shsegment.ErrUnreadable) {
+			continue
+		}
+		if err != nil {
+			return nil, storeError("adopt", err)
+		}
+		records = append(records, r)
+	}
+	return records, nil
+}
+
+// Close syncs and closes the store.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	if s.syncTimer != nil {
+		s.syncTimer.Stop()
+	}
+	s.mu.Unlock()
+	if s.log == nil {
+		return nil
+	}
+	if err := s.log.Close(); err != nil {
+		return storeError("close", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/shaccount/store_test.go
@@ -0,0 +1,205 @@
+package shaccount
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+)
+
+func appendOne(t testing.TB, s *Store, batch uint64, sync bool, records ...shrecord.Record) error {
+	t.Helper()
+	_, err := s.Append(t.Context(), AppendRequest{Origin: Origin{VM: "self"}, Batch: batch, Records: records, Sync: sync})
+	return err
+}
+
+// ids reads the whole store and returns the request IDs in order.
+func ids(t testing.TB, s *Store, limit int) []shmodel.RequestID {
+	t.Helper()
+	var all []shmodel.RequestID
+	for r, err := range Pages(t.Context(), ReadRequest{Limit: limit}, s.Read) {
+		assert.NilError(t, err)
+		all = append(all, r.RequestID)
+	}
+	return all
+}
+
+// Guards against records that are lost, reordered or repeated between pages.
+func TestStoreReadsInOrderPageByPage(t *testing.T) {
+	for _, folder := range []string{"", t.TempDir()} {
+		s, err := OpenStore(StoreOptions{Folder: folder, SegmentBytes: 2000})
+		assert.NilError(t, err)
+		var want []shmodel.RequestID
+		for i := range 60 {
+			id := shmodel.RequestID(1 + (i*700)%42_000)
+			want = append(want, id, id)
+			assert.NilError(t, appendOne(t, s, uint64(i), false, closedRecord(id), opened(id)))
+		}
+		slices.Sort(want)
+		for _, limit := range []int{1, 7, 1000} {
+			assert.DeepEqual(t, ids(t, s, limit), want)
+		}
+		assert.NilError(t, s.Close())
+		if folder == "" {
+			continue
+		}
+		s, err = OpenStore(StoreOptions{Folder: folder})
+		assert.NilError(t, err)
+		assert.Equal(t, len(s.Opened().Damage), 0)
+		assert.DeepEqual(t, ids(t, s, 11), want)
+		assert.NilError(t, s.Close())
+	}
+}
+
+// Guards against a resent batch that is stored twice, before or after a restart,
+// and against a contradicting copy that is dropped.
+func TestStoreAppendIsIdempotent(t *testing.T) {
+	disk := newFakeDisk()
+	for range 2 {
+		s := openFake(t, disk)
+		for range 3 {
+			assert.NilError(t, appendOne(t, s, 1, true, opened(1), opened(1), opened(2)))
+		}
+		assert.DeepEqual(t, ids(t, s, 0), []shmodel.RequestID{1, 2})
+	}
+	s := openFake(t, disk)
+	other := opened(1)
+	other.Caller = "10.0.0.2"
+	assert.NilError(t, appendOne(t, s, 2, true, other))
+	assert.DeepEqual(t, ids(t, s, 1), []shmodel.RequestID{1, 1, 2})
+}
+
+// Guards against a torn entry that is read, or that takes intact ones with it.
+func TestStoreTornTailAtEveryOffset(t *testing.T) {
+	disk := newFakeDisk()
+	s := openFake(t, disk)
+	assert.NilError(t, appendOne(t, s, 1, true, opened(1)))
+	assert.NilError(t, appendOne(t, s, 2, false, opened(2)))
+	unsynced := len(disk.only().data) - len(disk.only().synced)
+	for kept := range unsynced {
+		restarted := disk.crash(func(int) int { return kept })
+		s := openFake(t, restarted)
+		assert.DeepEqual(t, ids(t, s, 0), []shmodel.RequestID{1})
+		assert.Equal(t, s.Opened().TornBytes, int64(kept))
+		assert.NilError(t, appendOne(t, s, 3, true, opened(3)))
+		assert.DeepEqual(t, ids(t, openFake(t, restarted), 0), []shmodel.RequestID{1, 3})
+	}
+}
+
+// Guards against damage that hides intact records or goes unreported.
+func TestStoreReadsAroundDamage(t *testing.T) {
+	disk := newFakeDisk()
+	s := openFake(t, disk)
+	size := 0
+	for i := range 3 {
+		assert.NilError(t, appendOne(t, s, uint64(i), true, opened(shmodel.RequestID(i+1))))
+		if i == 0 {
+			size = len(disk.only().data)
+		}
+	}
+	for at := size; at < 2*size; at++ {
+		damaged := disk.crash(nil)
+		damaged.only().data[at] ^= 0x40
+		s := openFake(t, damaged)
+		assert.DeepEqual(t, ids(t, s, 0), []shmodel.RequestID{1, 3})
+		assert.Equal(t, len(s.Opened().Damage), 1)
+		d := s.Opened().Damage[0]
+		assert.Equal(t, d.FirstSequence, uint64(2))
+		assert.Equal(t, d.Entries, uint64(1))
+	}
+}
+
+// Guards against damage after opening that ends the export.
+func TestStoreReportsUnreadableRecords(t *testing.T) {
+	disk := newFakeDisk()
+	s := openFake(t, disk)
+	assert.NilError(t, appendOne(t, s, 1, true, opened(1), opened(2)))
+	disk.only().data[40] ^= 1
+	page, err := s.Read(t.Context(), ReadRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Records), 1)
+	assert.DeepEqual(t, page.Unreadable, []shrecord.Identity{opened(1).Identity()})
+}
+
+// Guards against a full disk that is reported as success, leaves a part of a
+// batch, or refuses for good.
+func TestStoreFullDiskRecovers(t *testing.T) {
+	disk := newFakeDisk()
+	s := openFake(t, disk)
+	assert.NilError(t, appendOne(t, s, 1, true, opened(1)))
+	for missing := range 100 {
+		disk.set(func() { disk.capacity = disk.used() + missing })
+		assert.Equal(t, KindOf(appendOne(t, s, 2, true, opened(2))), Full)
+		assert.DeepEqual(t, ids(t, s, 0), []shmodel.RequestID{1})
+	}
+	disk.set(func() { disk.capacity = 1 << 20 })
+	assert.NilError(t, appendOne(t, s, 2, true, opened(2)))
+	assert.DeepEqual(t, ids(t, openFake(t, disk.crash(nil)), 0), []shmodel.RequestID{1, 2})
+}
+
+// Guards against a failed sync that a later successful one covers up.
+func TestStoreFailedSyncIsSticky(t *testing.T) {
+	disk := newFakeDisk()
+	s := openFake(t, disk)
+	disk.set(func() { disk.failSync = true })
+	assert.Equal(t, KindOf(appendOne(t, s, 1, true, opened(1))), Failed)
+	disk.set(func() { disk.failSync = false })
+	assert.Equal(t, KindOf(appendOne(t, s, 1, true, opened(1))), Failed)
+	assert.Equal(t, KindOf(appendOne(t, s, 2, false, opened(2))), Failed)
+}
+
+// Guards against one sync per append when many wait.
+func TestStoreGroupsSyncs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := newFakeDisk()
+		s := openFake(t, disk)
+		before := disk.syncs
+		disk.gate = make(chan struct{})
+		var wait sync.WaitGroup
+		for i := range 100 {
+			wait.Go(func() {
+				assert.Check(t, appendOne(t, s, uint64(i), true, opened(shmodel.RequestID(i+1))) == nil)
+			})
+		}
+		synctest.Wait()
+		close(disk.gate)
+		wait.Wait()
+		assert.Assert(t, disk.syncs-before <= 2)
+		assert.Equal(t, len(ids(t, openFake(t, disk.crash(nil)), 0)), 100)
+	})
+}
+
+// Guards against memory that a store without disk never frees, and against a
+// sync that it cannot do.
+func TestMemoryStoreHoldsUntilReleased(t *testing.T) {
+	s, err := OpenStore(StoreOptions{MemoryRecords: 2})
+	assert.NilError(t, err)
+	origin := Origin{VM: "self"}
+	assert.Equal(t, KindOf(appendOne(t, s, 1, true, opened(1))), NoDisk)
+	assert.NilError(t, appendOne(t, s, 1, false, opened(1), opened(2)))
+	assert.Equal(t, KindOf(appendOne(t, s, 2, false, opened(3))), Full)
+	assert.NilError(t, s.Release(t.Context(), ReleaseRequest{Origin: origin, Batches: []uint64{1}}))
+	assert.Equal(t, s.Records(), 0)
+	assert.NilError(t, appendOne(t, s, 2, false, opened(3)))
+	_, err = s.Append(t.Context(), AppendRequest{Origin: origin, Batch: 3, Oldest: 3, Records: []shrecord.Record{opened(4)}})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, ids(t, s, 0), []shmodel.RequestID{4})
+	_, err = s.Append(t.Context(), AppendRequest{Origin: origin, Batch: 2, Confirm: true})
+	assert.Equal(t, KindOf(err), Stale)
+	assert.DeepEqual(t, s.Origins(), []Origin{origin})
+}
+
+// Guards against invalid records that would spoil the export.
+func TestStoreRefusesInvalidRecords(t *testing.T) {
+	s := openFake(t, newFakeDisk())
+	r := opened(1)
+	r.At = time.Time{}
+	assert.Equal(t, KindOf(appendOne(t, s, 1, false, r)), Invalid)
+	assert.Equal(t, s.Records(), 0)
+}
