Add the owner's table of backend servers

One entry VM must know exactly how many slots of a backend server are in use, across owner changes and with reports that lag or lie. The package holds leases, exact counts, inherited requests, slow start, credits, solo runs and crash detection as decision logic with the time passed in.

--- /dev/null
+++ b/coordination/shslot/reserve.go
@@ -0,0 +1,250 @@
+package shslot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sequoiahollow/state/shmodel"
+)
+
+// soloMark is the one backend server that is kept free for a solo run.
+type soloMark struct {
+	request       shmodel.RequestID
+	backendServer shmodel.BackendServer
+	touched       time.Time
+	announced     bool
+}
+
+// Reserve takes a slot, or all slots of a backend server for a solo run. It
+// returns false if there is none now. A solo Reserve marks a backend server,
+// which gets no other work; SoloReady says when to call Reserve again.
+func (t *Table) Reserve(now time.Time, w Want) (Reservation, bool) {
+	switch w.Class {
+	case Solo:
+		return t.reserveSolo(now, w)
+	case Remote:
+		c := t.credits[w.Credit]
+		if c == nil || c.service != w.Service || c.left == 0 || !now.Before(c.until) {
+			return Reservation{}, false
+		}
+		r, ok := t.reserveSlot(now, w)
+		if ok {
+			c.left--
+		}
+		return r, ok
+	default:
+		if t.free(now, w.Service) <= t.lent(w.Service) {
+			return Reservation{}, false
+		}
+		return t.reserveSlot(now, w)
+	}
+}
+
+// reserveSlot takes a slot of the backend server with the lowest share of
+// occupied slots, then in the failure domain with the fewest requests, then the
+// least recently used one.
+func (t *Table) reserveSlot(now time.Time, w Want) (Reservation, bool) {
+	domains := map[shmodel.FailureDomain]int{}
+	for _, b := range t.backends {
+		if b.Service == w.Service {
+			domains[b.Place.FailureDomain] += b.own
+		}
+	}
+	var best *backend
+	for name, b := range t.backends {
+		if b.Service != w.Service || name == t.solo.backendServer || slices.Contains(w.Exclude, name) || b.free(now) == 0 {
+			continue
+		}
+		if best == nil || less(b, best, domains) {
+			best = b
+		}
+	}
+	if best == nil {
+		return Reservation{}, false
+	}
+	return t.hold(best, w, 1), true
+}
+
+func less(a, b *backend, domains map[shmodel.FailureDomain]int) bool {
+	return cmp.Or(
+		cmp.Compare(a.occupied()*b.limit(), b.occupied()*a.limit()),
+		cmp.Compare(domains[a.Place.FailureDomain], domains[b.Place.FailureDomain]),
+		cmp.Compare(a.load, b.load),
+		cmp.Compare(a.lastUsed, b.lastUsed),
+		cmp.Compare(a.BackendServer, b.BackendServer),
+	) < 0
+}
+
+func (t *Table) hold(b *backend, w Want, slots int) Reservation {
+	t.ids++
+	r := Reservation{
+		ID:            ReservationID(t.ids),
+		BackendServer: b.BackendServer,
+		Address:       b.Address,
+		Place:         b.Place,
+		Solo:          w.Class == Solo,
+	}
+	h := &held{Reservation: r, backend: b, digest: w.Digest, slots: slots}
+	if c := t.credits[w.Credit]; c != nil && w.Class == Remote {
+		h.borrower = c.borrower
+	}
+	b.lastUsed = r.ID
+	t.reservations[r.ID] = h
+	b.running[r.ID] = h
+	b.own += slots
+	b.peak = max(b.peak, b.own)
+	return r
+}
+
+func (t *Table) reserveSolo(now time.Time, w Want) (Reservation, bool) {
+	if t.solo.request != 0 && t.solo.request != w.RequestID {
+		return Reservation{}, false
+	}
+	t.solo.touched = now
+	if b := t.marked(now); b != nil && b.Service == w.Service {
+		if !b.idle() {
+			return Reservation{}, false
+		}
+		t.solo = soloMark{}
+		return t.hold(b, w, b.slots), true
+	}
+	t.solo = soloMark{}
+	var best *backend
+	for _, name := range t.names() {
+		b := t.backends[name]
+		if b.Service != w.Service || slices.Contains(w.Exclude, name) || !b.open(now) {
+			continue
+		}
+		if t.free(now, w.Service)-b.free(now) < t.lent(w.Service) {
+			continue
+		}
+		if best == nil || b.occupied() < best.occupied() {
+			best = b
+		}
+	}
+	if best == nil {
+		return Reservation{}, false
+	}
+	if best.idle() {
+		return t.hold(best, w, best.slots), true
+	}
+	t.solo = soloMark{request: w.RequestID, backendServer: best.BackendServer, touched: now}
+	return Reservation{}, false
+}
+
+// marked returns the marked backend server if it can still take work.
+func (t *Table) marked(now time.Time) *backend {
+	b := t.backends[t.solo.backendServer]
+	if b == nil || !b.open(now) {
+		return nil
+	}
+	return b
+}
+
+func (t *Table) soloEffects(now time.Time) []Effect {
+	if t.solo.request == 0 || t.solo.announced {
+		return nil
+	}
+	b := t.marked(now)
+	if b != nil && !b.idle() {
+		return nil
+	}
+	// Without a usable backend server the request has to choose another.
+	t.solo.announced = true
+	return []Effect{SoloReady{RequestID: t.solo.request}}
+}
+
+// Dispatch says whether the request of a reservation may be written now. It
+// returns false if the lease was lost since Reserve, for instance because the
+// process was frozen; the reservation must then be released as NotDispatched.
+func (t *Table) Dispatch(now time.Time, id ReservationID) bool {
+	h := t.reservations[id]
+	if h == nil || !h.backend.open(now) {
+		return false
+	}
+	h.dispatched = true
+	h.startedAt = now
+	return true
+}
+
+// Release ends a reservation. An ID that is unknown has no effect; the backend
+// server restarted since.
+func (t *Table) Release(now time.Time, id ReservationID, result Result) []Effect {
+	h := t.reservations[id]
+	if h == nil {
+		return nil
+	}
+	b := h.backend
+	if result == Broken && h.dispatched {
+		b.breakAt(now)
+	}
+	delete(t.reservations, id)
+	delete(b.running, id)
+	b.own -= h.slots
+	if !h.dispatched {
+		return t.soloEffects(now)
+	}
+	switch result {
+	case Completed:
+		b.ramp(now)
+		b.raise(1.0 / successesPerSlot)
+	case Shed:
+		b.shed(now)
+	case Broken, Abandoned:
+		b.inherit(now, h)
+	case NotDispatched, NotRun:
+	}
+	return t.soloEffects(now)
+}
+
+// forgetReservations drops the reservations of an incarnation that is gone.
+func (t *Table) forgetReservations(b *backend) {
+	for id := range b.running {
+		delete(t.reservations, id)
+	}
+	b.running = nil
+	b.own = 0
+}
+
+// Load returns the state of a service.
+func (t *Table) Load(now time.Time, service shmodel.Service) Load {
+	var l Load
+	for name, b := range t.backends {
+		if b.Service != service || !b.open(now) {
+			continue
+		}
+		b.ramp(now)
+		l.BackendServers++
+		l.Slots += b.slots
+		l.Occupied += min(b.occupied(), b.slots)
+		if name != t.solo.backendServer {
+			l.Usable += b.limit()
+		}
+	}
+	l.Lent = t.lent(service)
+	l.Free = max(0, t.free(now, service)-l.Lent)
+	l.Spare = max(0, l.Free-t.reserve(l.Slots))
+	return l
+}
+
+// Services returns the services of the backend servers in the table.
+func (t *Table) Services() []shmodel.Service {
+	var out []shmodel.Service
+	for _, b := range t.backends {
+		out = append(out, b.Service)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// free counts the free slots of a service, lent ones included.
+func (t *Table) free(now time.Time, service shmodel.Service) int {
+	n := 0
+	for name, b := range t.backends {
+		if b.Service == service && name != t.solo.backendServer {
+			n += b.free(now)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/coordination/shslot/table.go
@@ -0,0 +1,317 @@
+// Package shslot is the owner's table of backend servers: ownership leases,
+// exact counts of occupied slots, credits for other regions, slow start, solo
+// runs and detection of backend servers that die.
+//
+// # Model
+//
+// One entry VM owns a backend server while it holds a lease. Each answer to an
+// announcement carries a nonce, and an announcement that echoes a nonce extends
+// the lease to 1.5 s after the owner sent that nonce. The backend server turns
+// to another owner only after the lease duration plus clock drift since its
+// last announcement, so two leases never overlap, even if the owner was
+// frozen: its own clock has then passed the end of the lease.
+//
+// The owner counts its requests exactly. Requests of a previous owner, and
+// requests that this owner gave up on, are inherited: they occupy slots until
+// reports show that they ended. Only a report sent after the inheritance
+// counts. A report is a total, so the owner's own requests are subtracted from
+// it, but only those that were sent before the report and were still running
+// when the next report arrived; others may have ended before the report.
+//
+// # Announcements
+//
+// The owner's exact count has precedence over reports. Reports may only lower
+// the capacity.
+//
+//	announcement                      effect
+//	first, without a known nonce      nonce, no lease
+//	echoes a nonce                    lease until 1.5 s after the nonce was sent
+//	echoes an older nonce than before ignored as late; answered with a nonce
+//	announcements stop                nothing new 1.5 s after the last nonce;
+//	                                  forgotten after 10 s
+//	malformed                         rejected; the lease is not extended
+//	other address, service or place,  rejected; the entry stays as it was
+//	  same incarnation
+//	older incarnation                 rejected as late
+//	newer incarnation                 restart: lease, counts and inherited
+//	                                  requests are dropped, slow start
+//	fewer slots                       in effect at once
+//	more slots, same incarnation      ignored until a restart
+//	leaving                           nothing new at once, final for the
+//	                                  incarnation
+//	load negative, NaN or over 1      taken as 1, last choice among equals
+//	in flight negative                report of requests in flight ignored
+//	in flight above slots             no free slot until the next report
+//	in flight above what is known     the excess occupies slots until the next
+//	                                  report
+//	idle while own count is higher    own count stands
+//
+// # Use
+//
+// Table.Apply takes an event and the time and returns effects. Table.Reserve
+// takes a slot, Table.Dispatch must be called immediately before the request
+// is written to the backend server, and Table.Release ends the reservation.
+// A Table is not safe for concurrent use. Times must carry monotonic readings
+// or come from one clock; wall-clock steps would shorten or extend leases.
+package shslot
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"sequoiahollow/state/shmodel"
+)
+
+// Durations.
+const (
+	// LeaseDuration bounds how long a silent backend server gets new work. The
+	// target for a leaving backend server is 2 s.
+	LeaseDuration = 1500 * time.Millisecond
+	// CreditDuration is how long a holder may use a credit.
+	CreditDuration = 2 * time.Second
+	// creditKept adds 2% clock drift and 100 ms of transit to CreditDuration;
+	// a request sent at the end of a credit must still find its slot.
+	creditKept = CreditDuration + CreditDuration/50 + 100*time.Millisecond
+	// rampDuration is the time in which slow start reaches all slots.
+	rampDuration = 10 * time.Second
+	// forgetAfter is when a silent backend server without requests is removed.
+	forgetAfter = 10 * time.Second
+	// frozenAfter is the gap between two events from which the table takes
+	// itself to have been frozen. Ticks are due every 100 ms.
+	frozenAfter = 500 * time.Millisecond
+	// soloMarkKept is how long a mark lasts without a further solo Reserve.
+	soloMarkKept = 5 * time.Second
+	// handoverSpread spreads the releases of a planned stop, so that a service
+	// does not lose all slots of this owner for the 500 ms that the new owner
+	// needs for its lease.
+	handoverSpread = time.Second
+	// shedInterval is the least time between two cuts for shed answers.
+	// Requests shed by one overload arrive together and count as one.
+	shedInterval = 100 * time.Millisecond
+)
+
+// Counts.
+const (
+	// successesPerSlot is the number of successes that raise the usable
+	// concurrency by one slot.
+	successesPerSlot = 8
+	// maxSlots bounds what an announcement may claim.
+	maxSlots = 1 << 16
+	// maxNonces bounds the nonces that are remembered per backend server; four
+	// cover a lease at one announcement per 500 ms.
+	maxNonces = 4
+)
+
+// DefaultReserveShare returns the share of slots kept for the region: 20% if
+// headroom comes first, 10% if latency does.
+func DefaultReserveShare(headroomFirst bool) float64 {
+	if headroomFirst {
+		return 0.2
+	}
+	return 0.1
+}
+
+// Table is the table of one owner. Create it with New.
+type Table struct {
+	salt         string
+	reserveShare float64
+	backends     map[shmodel.BackendServer]*backend
+	reservations map[ReservationID]*held
+	credits      map[CreditID]*credit
+	borrowers    map[borrowerKey]*borrower
+	nonces       uint64
+	ids          uint64
+	lastEvent    time.Time
+	stopping     bool
+	done         bool
+	owners       []string
+	solo         soloMark
+}
+
+// New returns an empty table. Salt must differ between processes and restarts
+// of the owner, because nonces contain it. ReserveShare is the share of slots
+// that is never lent.
+func New(salt string, reserveShare float64) *Table {
+	return &Table{
+		salt:         salt,
+		reserveShare: reserveShare,
+		backends:     map[shmodel.BackendServer]*backend{},
+		reservations: map[ReservationID]*held{},
+		credits:      map[CreditID]*credit{},
+		borrowers:    map[borrowerKey]*borrower{},
+	}
+}
+
+// SetReserveShare applies a changed configuration.
+func (t *Table) SetReserveShare(share float64) { t.reserveShare = share }
+
+// Apply processes one event at time now.
+func (t *Table) Apply(now time.Time, e Event) []Effect {
+	t.noticeFreeze(now)
+	var out []Effect
+	switch e := e.(type) {
+	case Announced:
+		out = t.announced(now, e)
+	case CreditRequested:
+		out = []Effect{t.lend(now, e)}
+	case CreditReturned:
+		t.takeBack(e)
+	case StopBegun:
+		t.beginStop(now, e)
+	case SoloCancelled:
+		if t.solo.request == e.RequestID {
+			t.solo = soloMark{}
+		}
+	case Tick:
+	}
+	return append(out, t.pass(now)...)
+}
+
+// pass does what the passing of time requires.
+func (t *Table) pass(now time.Time) []Effect {
+	t.expireCredits(now)
+	if t.solo.request != 0 && now.Sub(t.solo.touched) >= soloMarkKept {
+		t.solo = soloMark{}
+	}
+	var out []Effect
+	for _, name := range t.names() {
+		b := t.backends[name]
+		if c, crashed := b.silentAfterBreak(now); crashed {
+			out = append(out, c)
+		}
+		if now.Sub(b.heardAt) >= forgetAfter && b.own == 0 {
+			delete(t.backends, name)
+		}
+	}
+	if !t.done && t.handedOver(now) {
+		t.done = true
+		out = append(out, HandoverDone{})
+	}
+	return append(out, t.soloEffects(now)...)
+}
+
+// noticeFreeze restarts the silence of suspected backend servers after the
+// table itself was frozen. Their announcements may still be waiting to be read,
+// and reporting them would strike innocent requests.
+func (t *Table) noticeFreeze(now time.Time) {
+	if !t.lastEvent.IsZero() && now.Sub(t.lastEvent) > frozenAfter {
+		for _, b := range t.backends {
+			if b.broken != nil {
+				b.broken.silentFrom = now
+			}
+		}
+	}
+	t.lastEvent = now
+}
+
+// names returns the backend servers in order, so that effects are reproducible.
+func (t *Table) names() []shmodel.BackendServer {
+	out := make([]shmodel.BackendServer, 0, len(t.backends))
+	for name := range t.backends {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (t *Table) announced(now time.Time, a Announced) []Effect {
+	if reason := malformed(a); reason != "" {
+		return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: reason}}
+	}
+	b, known := t.backends[a.BackendServer]
+	if known && a.Incarnation == b.Incarnation {
+		if reason := b.contradicts(a); reason != "" {
+			return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: reason}}
+		}
+	}
+	if known && a.Incarnation < b.Incarnation {
+		return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: "older incarnation"}}
+	}
+	var out []Effect
+	if known && a.Incarnation > b.Incarnation {
+		if c, crashed := b.restarted(); crashed {
+			out = append(out, c)
+		}
+		t.forgetReservations(b)
+	}
+	if t.stopping && !known {
+		return append(out, t.release(a.BackendServer))
+	}
+	if !known || a.Incarnation > b.Incarnation {
+		b = newBackend(now, a, known)
+		t.backends[a.BackendServer] = b
+		if t.stopping {
+			b.releaseAt = now
+		}
+	}
+	if t.stopping && b.releasedBy(now) {
+		return append(out, t.release(a.BackendServer))
+	}
+	b.hear(now, a)
+	t.nonces++
+	nonce := t.salt + "-" + strconv.FormatUint(t.nonces, 10)
+	b.issue(nonce, now)
+	return append(out, AnswerAnnouncement{BackendServer: a.BackendServer, Nonce: nonce, Lease: LeaseDuration})
+}
+
+// release answers an announcement during a planned stop. Reservations that
+// were not dispatched before are refused by Dispatch from then on.
+func (t *Table) release(name shmodel.BackendServer) Effect {
+	if b := t.backends[name]; b != nil {
+		b.leaseUntil = time.Time{}
+		b.released = true
+	}
+	return AnswerAnnouncement{BackendServer: name, Released: true, Owners: t.owners}
+}
+
+// handedOver says that no lease is left after a stop began.
+func (t *Table) handedOver(now time.Time) bool {
+	for _, b := range t.backends {
+		if b.leased(now) {
+			return false
+		}
+	}
+	return t.stopping
+}
+
+func (t *Table) beginStop(now time.Time, e StopBegun) {
+	if t.stopping {
+		return
+	}
+	t.stopping = true
+	t.owners = e.Owners
+	names := t.names()
+	for i, name := range names {
+		t.backends[name].releaseAt = now.Add(handoverSpread * time.Duration(i) / time.Duration(len(names)))
+	}
+}
+
+func malformed(a Announced) string {
+	if a.BackendServer == "" || a.Service == "" {
+		return "backend server and service must be named"
+	}
+	if a.Place.Region == "" || a.Place.FailureDomain == "" {
+		return "region and failure domain must be named"
+	}
+	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+		return "address must be IP:port"
+	}
+	if a.Slots <= 0 || a.Slots > maxSlots {
+		return "slots out of range"
+	}
+	if a.Connections < 0 {
+		return "connections out of range"
+	}
+	return ""
+}
+
+// plausibleLoad returns load, or 1 if it is not a utilisation.
+func plausibleLoad(load float64) float64 {
+	if math.IsNaN(load) || load < 0 || load > 1 {
+		return 1
+	}
+	return load
+}
