--- /dev/null
+++ b/coordination/shrouting/book.go
@@ -0,0 +1,120 @@
+package shrouting
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sequoiahollow/state/shmodel"
+)
+
+// Book keeps the reports of peers of one service and corrects them by own
+// forwards. The zero Book is ready to use. It is not safe for concurrent use.
+type Book struct {
+	peers map[shmodel.VM]*entry
+	next  ForwardID
+	// inFlight maps each forward to its peer and start.
+	inFlight map[ForwardID]forward
+}
+
+// ForwardID identifies a forward noted in a Book.
+type ForwardID uint64
+
+// Report is what a peer said about its slots of the service. At is when the
+// peer took the figures, by the clock of this VM: the time of arrival less the
+// age of the report.
+type Report struct {
+	VM      shmodel.VM
+	Address string
+	Place   shmodel.Place
+	Free    int
+	Usable  int
+	At      time.Time
+}
+
+type entry struct {
+	Report
+	healthy   bool
+	refusedAt time.Time
+}
+
+type forward struct {
+	vm shmodel.VM
+	at time.Time
+}
+
+// Observe takes over a report. A report older than the known one is ignored,
+// and one with impossible figures counts as no free slots.
+func (b *Book) Observe(r Report) {
+	if b.peers == nil {
+		b.peers = map[shmodel.VM]*entry{}
+	}
+	e := b.peers[r.VM]
+	if e == nil {
+		e = &entry{healthy: true}
+		b.peers[r.VM] = e
+	}
+	if r.At.Before(e.At) {
+		return
+	}
+	if r.Free < 0 || r.Usable < 0 || r.Free > r.Usable {
+		r.Free = 0
+	}
+	e.Report = r
+}
+
+// SetHealthy notes whether the connection to a peer works.
+func (b *Book) SetHealthy(vm shmodel.VM, healthy bool) {
+	if e := b.peers[vm]; e != nil {
+		e.healthy = healthy
+	}
+}
+
+// Forget removes a peer that left.
+func (b *Book) Forget(vm shmodel.VM) { delete(b.peers, vm) }
+
+// Begin notes a forward to vm.
+func (b *Book) Begin(now time.Time, vm shmodel.VM) ForwardID {
+	if b.inFlight == nil {
+		b.inFlight = map[ForwardID]forward{}
+	}
+	b.next++
+	b.inFlight[b.next] = forward{vm: vm, at: now}
+	return b.next
+}
+
+// End notes that a forward ended. Refused says that the peer had no slot.
+func (b *Book) End(now time.Time, id ForwardID, refused bool) {
+	f, ok := b.inFlight[id]
+	delete(b.inFlight, id)
+	if e := b.peers[f.vm]; ok && refused && e != nil {
+		e.refusedAt = now
+	}
+}
+
+// Peers returns the peers in the order of their names.
+func (b *Book) Peers(now time.Time) []Peer {
+	uncovered := map[shmodel.VM]int{}
+	for _, f := range b.inFlight {
+		if e := b.peers[f.vm]; e != nil && !f.at.Before(e.At) {
+			uncovered[f.vm]++
+		}
+	}
+	out := make([]Peer, 0, len(b.peers))
+	for vm, e := range b.peers {
+		refused := e.refusedAt.After(e.At) && now.Sub(e.refusedAt) < refusedFor
+		out = append(out, Peer{
+			VM:        vm,
+			Address:   e.Address,
+			Place:     e.Place,
+			Free:      e.Free,
+			Usable:    e.Usable,
+			ReportAge: now.Sub(e.At),
+			Forwarded: uncovered[vm],
+			Refused:   refused,
+			Healthy:   e.healthy,
+		})
+	}
+	slices.SortFunc(out, func(x, y Peer) int { return cmp.Compare(x.VM, y.VM) })
+	return out
+}
--- /dev/null
+++ b/coordination/shrouting/objective.go
@@ -0,0 +1,181 @@
+package shrouting
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+)
+
+// loadBound is the factor over the mean utilisation of the region from which a
+// candidate is passed over, in percent: rendezvous hashing with bounded load.
+const loadBound = 125
+
+// Objectives is the policy of the system. The objective is in the Snapshot.
+type Objectives struct{}
+
+func (Objectives) policy() {}
+
+// Choose implements Policy.
+func (Objectives) Choose(s *Snapshot, r Request) Choice {
+	service := s.meanService()
+	if r.Remaining < service {
+		return Refuse{Reason: PastDeadline, RetryAfter: minRetryAfter}
+	}
+	if c := s.inRegion(r); c != nil {
+		return c
+	}
+	wait, served := s.expectedWait(r.Forwarded)
+	waitFits := served && wait+service <= r.Remaining
+	if r.Forwarded {
+		return waitOrRefuse(wait, waitFits)
+	}
+	leave := !waitFits
+	remote, found := s.remote(r)
+	if s.Objective == shconfig.Latency && found {
+		leave = leave || wait > remote.RoundTrip
+	}
+	if found && leave {
+		return Shift{VM: remote.VM, Address: remote.Address, Region: remote.Place.Region, Credit: remote.Credit}
+	}
+	return waitOrRefuse(wait, waitFits)
+}
+
+func waitOrRefuse(wait time.Duration, fits bool) Choice {
+	if fits {
+		return Wait{Expected: wait}
+	}
+	return Refuse{Reason: NoCapacity, RetryAfter: max(minRetryAfter, wait.Round(time.Second))}
+}
+
+// inRegion returns nil if no slot is known to be free in the region. Own slots
+// come first: the count is exact and no hop is needed. Headroom departs from
+// that when this VM is clearly busier than the region.
+func (s *Snapshot) inRegion(r Request) Choice {
+	ownFree := s.Own.Free > 0 && !slices.Contains(r.Tried, s.Own.VM)
+	if r.Forwarded {
+		if ownFree {
+			return ServeOwn{}
+		}
+		return nil
+	}
+	if ownFree && (s.Objective == shconfig.Latency || !s.aboveBound()) {
+		return ServeOwn{}
+	}
+	if p, ok := s.peer(r); ok && (!ownFree || p.available()*s.Own.Usable > s.Own.Free*p.Usable) {
+		return Forward{VM: p.VM, Address: p.Address}
+	}
+	if ownFree {
+		return ServeOwn{}
+	}
+	return nil
+}
+
+// aboveBound says that the utilisation of this VM exceeds the bound on the mean
+// utilisation of the region.
+func (s *Snapshot) aboveBound() bool {
+	usable, free := s.Own.Usable, s.Own.Free
+	for _, p := range s.Peers {
+		if p.fresh() {
+			usable += p.Usable
+			free += p.available()
+		}
+	}
+	return (s.Own.Usable-s.Own.Free)*usable*100 > (usable-free)*s.Own.Usable*loadBound
+}
+
+// peer draws two peers by rendezvous hashing and returns the one with the
+// larger free share. Peers with old reports are drawn only if no other has a
+// free slot.
+func (s *Snapshot) peer(r Request) (Peer, bool) {
+	var first, second Peer
+	var firstWeight, secondWeight uint64
+	n := 0
+	for _, onlyFresh := range []bool{true, false} {
+		for _, p := range s.Peers {
+			if p.fresh() != onlyFresh || p.available() <= 0 || !p.Healthy || slices.Contains(r.Tried, p.VM) {
+				continue
+			}
+			n++
+			weight := weigh(r.ID, p.VM)
+			switch {
+			case n == 1 || weight > firstWeight:
+				second, secondWeight = first, firstWeight
+				first, firstWeight = p, weight
+			case n == 2 || weight > secondWeight:
+				second, secondWeight = p, weight
+			}
+		}
+		if n > 0 {
+			break
+		}
+	}
+	if n > 1 && second.available()*first.Usable > first.available()*second.Usable {
+		return second, true
+	}
+	return first, n > 0
+}
+
+// fresh says whether the report is recent enough to be taken at its word.
+func (p Peer) fresh() bool { return p.ReportAge <= FreshFor }
+
+// available corrects the reported free slots by own forwards.
+func (p Peer) available() int {
+	if p.Refused {
+		return 0
+	}
+	return min(p.Free, p.Usable) - p.Forwarded
+}
+
+// remote returns the nearest VM that the request can shift to. Of equally near
+// ones, the one with more credits is chosen.
+func (s *Snapshot) remote(r Request) (Remote, bool) {
+	var best Remote
+	found := false
+	for _, m := range s.Regions {
+		usable := m.Healthy && m.Credits > 0 && m.LinkFreeBytes >= r.Bytes &&
+			m.RoundTrip+s.meanService() <= r.Remaining && !slices.Contains(r.Tried, m.VM)
+		if !usable {
+			continue
+		}
+		if !found || m.RoundTrip < best.RoundTrip || m.RoundTrip == best.RoundTrip && m.Credits > best.Credits {
+			best, found = m, true
+		}
+	}
+	return best, found
+}
+
+// expectedWait is the time until the queue of this VM is served: by its own
+// slots or, if it has none, by those of its peers. It returns false if nothing
+// can serve the queue.
+func (s *Snapshot) expectedWait(forwarded bool) (time.Duration, bool) {
+	usable := s.Own.Usable
+	if usable == 0 && !forwarded {
+		for _, p := range s.Peers {
+			if p.Healthy {
+				usable += p.Usable
+			}
+		}
+	}
+	wait := s.meanService() * time.Duration(s.Own.Queued+1) / time.Duration(max(1, usable))
+	return wait, usable > 0
+}
+
+func (s *Snapshot) meanService() time.Duration {
+	if s.MeanService <= 0 {
+		return defaultService
+	}
+	return s.MeanService
+}
+
+// weigh is the rendezvous weight of a VM for a request.
+func weigh(id shmodel.RequestID, vm shmodel.VM) uint64 {
+	buf := make([]byte, 0, 64)
+	buf = binary.LittleEndian.AppendUint64(buf, uint64(id))
+	buf = append(buf, vm...)
+	return xxhash.Sum64(buf)
+}
--- /dev/null
+++ b/coordination/shrouting/routing.go
@@ -0,0 +1,180 @@
+// Package shrouting chooses where one request runs, and holds two baseline
+// policies for comparison.
+//
+// # Model
+//
+// A request is served by a backend server of the entry VM that received it, is
+// forwarded to a peer in the region, shifts to a VM in another region, waits
+// for a slot, or is refused. A Policy makes that choice from a Snapshot.
+//
+// The entry VM knows its own free slots exactly. Those of peers come from
+// reports that are up to a second old, or older when measurements lag. Many
+// VMs that see the same report would all choose the same peer. Three rules
+// prevent this:
+//
+//   - Book subtracts the own forwards that are in flight and younger than the
+//     report.
+//   - Candidates are two peers drawn by rendezvous hashing of the request ID,
+//     so that VMs draw different peers. The better of the two is used.
+//   - A peer that refused a forward counts as full until its next report.
+//
+// A shift needs a valid credit, so a slot is kept for it, and a share of the
+// link that the request fits in.
+//
+// # Objectives
+//
+// Headroom stays in the region while the queue fits the deadline. Latency
+// leaves the region when the expected wait exceeds the round trip. Both refuse
+// at once what cannot be served before the deadline.
+//
+// # Use
+//
+// The owner of the control state keeps a Book and builds a Snapshot per
+// service from it. Policy.Choose does not change the Snapshot.
+package shrouting
+
+import (
+	"time"
+
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+)
+
+// Durations.
+const (
+	// FreshFor is the age up to which a report is taken at its word. Heartbeats
+	// come every 500 ms; two in a row may be lost.
+	FreshFor = 1500 * time.Millisecond
+	// refusedFor bounds how long a refusal counts if no report follows.
+	refusedFor = time.Second
+	// defaultService is the assumed service time before one was measured.
+	defaultService = 20 * time.Millisecond
+	// minRetryAfter is the least Retry-After of a refusal. Callers resolve
+	// seconds only.
+	minRetryAfter = time.Second
+)
+
+// Snapshot is what an entry VM knows about one service.
+type Snapshot struct {
+	Objective shconfig.Objective
+	Own       Own
+	// Peers are the other entry VMs of the region.
+	Peers []Peer
+	// Regions are VMs of other regions, at most one choice per VM.
+	Regions []Remote
+	// InnerRoundTrip is the round trip to a peer in the region.
+	InnerRoundTrip time.Duration
+	// MeanService is the measured service time of the service; zero is unknown.
+	MeanService time.Duration
+}
+
+// Own is the state of the entry VM itself, in slots. It is exact.
+type Own struct {
+	VM     shmodel.VM
+	Place  shmodel.Place
+	Free   int
+	Usable int
+	// Queued is the number of requests that wait at this VM.
+	Queued int
+}
+
+// Peer is an entry VM of the region.
+type Peer struct {
+	VM      shmodel.VM
+	Address string
+	Place   shmodel.Place
+	// Free and Usable are as reported.
+	Free   int
+	Usable int
+	// ReportAge is the age of the report.
+	ReportAge time.Duration
+	// Forwarded counts own forwards in flight that the report does not cover.
+	Forwarded int
+	// Refused says that the peer refused a forward since the report.
+	Refused bool
+	// Healthy says that the connection to the peer works.
+	Healthy bool
+}
+
+// Remote is an entry VM of another region.
+type Remote struct {
+	VM      shmodel.VM
+	Address string
+	Place   shmodel.Place
+	// Credits are unused valid credits; Credit identifies the ones to use next.
+	Credits int
+	Credit  uint64
+	// LinkFreeBytes is what the link share admits now, in both directions.
+	LinkFreeBytes int64
+	RoundTrip     time.Duration
+	// Free is the reported number of free slots. Only the baselines use it.
+	Free    int
+	Healthy bool
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	ID   shmodel.RequestID
+	Kind shmodel.OperationKind
+	// Remaining is the time left until the deadline.
+	Remaining time.Duration
+	// Bytes is the expected size of request and answer.
+	Bytes int64
+	// Forwarded says that another entry VM received the request. It must not
+	// be forwarded again.
+	Forwarded bool
+	// Tried lists the VMs that failed or refused this request.
+	Tried []shmodel.VM
+}
+
+// Policy makes the choice for one request. The set is closed.
+type Policy interface {
+	Choose(s *Snapshot, r Request) Choice
+	policy()
+}
+
+// Choice is the result of a Policy. The set is closed.
+type Choice interface{ choice() }
+
+// ServeOwn runs the request on a backend server of this VM.
+type ServeOwn struct{}
+
+// Forward hands the request to a peer in the region.
+type Forward struct {
+	VM      shmodel.VM
+	Address string
+}
+
+// Shift hands the request to a VM in another region, using one credit.
+type Shift struct {
+	VM      shmodel.VM
+	Address string
+	Region  shmodel.Region
+	Credit  uint64
+}
+
+// Wait queues the request at this VM. Expected is the expected wait.
+type Wait struct{ Expected time.Duration }
+
+// Reason is why a request is refused.
+type Reason string
+
+// Reasons.
+const (
+	// NoCapacity says that no slot is expected before the deadline.
+	NoCapacity Reason = "no-capacity"
+	// PastDeadline says that the request cannot be served in the time left.
+	PastDeadline Reason = "past-deadline"
+)
+
+// Refuse refuses the request as not run.
+type Refuse struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+func (ServeOwn) choice() {}
+func (Forward) choice()  {}
+func (Shift) choice()    {}
+func (Wait) choice()     {}
+func (Refuse) choice()   {}
