--- /dev/null
+++ b/coordination/shraft/leader.go
@@ -0,0 +1,465 @@
+package shraft
+
+import (
+	"cmp"
+	"encoding/json"
+	"math"
+	"slices"
+	"time"
+)
+
+// leadership is the state of a leader in its term.
+type leadership struct {
+	since   time.Time
+	beatAt  time.Time
+	round   uint64
+	barrier uint64 // index of the first entry of the term
+	members map[ID]*progress
+	reads   []pendingRead
+
+	transferTo    ID // zero if no transfer is in progress
+	transferToken uint64
+	transferSince time.Time
+	timeoutSent   bool
+}
+
+// progressMode says how entries go to a member.
+type progressMode uint8
+
+const (
+	// probing sends no entries until an answer shows where the logs match.
+	probing progressMode = iota
+	// replicating sends entries ahead of their acknowledgement.
+	replicating
+	// snapshotting sends a snapshot.
+	snapshotting
+)
+
+// progress is what a leader knows about another member.
+type progress struct {
+	mode  progressMode
+	match uint64 // the log is known to match up to here
+	next  uint64 // first entry to send
+
+	ackedRound uint64
+	ackedAt    time.Time // the newest message that was answered was sent then
+	clock      Clock     // newest Answer.Clock
+
+	snapshot  *Snapshot // being sent
+	offset    int
+	partAt    time.Time // when the part at offset was sent, zero if not
+	goal      uint64    // commit index at goalAt
+	goalAt    time.Time
+	currentAt time.Time // the member has what was committed then
+}
+
+// pendingRead waits for a quorum to answer a round and for index to be applied.
+type pendingRead struct {
+	tokens []uint64
+	round  uint64
+	index  uint64
+}
+
+// syncMembers adds and drops progress after a membership change.
+func (l *leadership) syncMembers(n *Node) {
+	members := make(map[ID]*progress)
+	for _, m := range n.membership().Members() {
+		if m.ID == n.config.ID {
+			continue
+		}
+		p := l.members[m.ID]
+		if p == nil {
+			p = &progress{next: n.log.lastIndex() + 1}
+		}
+		members[m.ID] = p
+	}
+	l.members = members
+}
+
+// quorumValue returns the largest value that a quorum of voters has reached.
+// own is this node's value.
+func quorumValue[T any](n *Node, own T, of func(*progress) T, compare func(T, T) int) T {
+	var values []T
+	for _, m := range n.membership().Voters {
+		if m.ID == n.config.ID {
+			values = append(values, own)
+			continue
+		}
+		values = append(values, of(n.lead.members[m.ID]))
+	}
+	slices.SortFunc(values, compare)
+	return values[len(values)-n.membership().quorum()]
+}
+
+// quorumContact returns a time at which a quorum followed this leader.
+func (l *leadership) quorumContact(n *Node) time.Time {
+	return quorumValue(n, n.now, func(p *progress) time.Time { return p.ackedAt }, time.Time.Compare)
+}
+
+// advanceCommit commits what a quorum has stored, answers reads and goes on with
+// a leadership transfer. Only entries of the current term are counted.
+func (n *Node) advanceCommit() {
+	index := quorumValue(n, n.log.lastIndex(), func(p *progress) uint64 { return p.match }, cmp.Compare[uint64])
+	if term, ok := n.log.term(index); ok && index > n.commit && term == n.state.Term {
+		n.commit = index
+	}
+	n.confirm(n.lead.quorumContact(n))
+	n.lead.answerReads(n)
+	n.continueTransfer()
+}
+
+// broadcast starts a round of heartbeats.
+func (n *Node) broadcast() {
+	l := n.lead
+	l.round++
+	l.beatAt = n.now
+	for _, m := range n.membership().Members() {
+		p := l.members[m.ID]
+		if p == nil {
+			continue
+		}
+		if p.match >= p.goal {
+			p.currentAt = p.goalAt
+			p.goal, p.goalAt = n.commit, n.now
+		}
+		if p.mode == snapshotting {
+			n.sendPart(m.ID, p, true)
+		} else {
+			n.sendEntries(m.ID, p, true)
+		}
+	}
+}
+
+func (n *Node) contact(p *progress) Contact {
+	c := Contact{Stamp: Stamp{Round: n.lead.round, Sent: n.clock()}}
+	if quorum := n.lead.quorumContact(n); p.clock != (Clock{}) && !quorum.IsZero() {
+		c.Echo = p.clock
+		c.Age = n.now.Sub(quorum)
+	}
+	return c
+}
+
+// replicate sends new entries to all members that take them.
+func (n *Node) replicate() {
+	for _, m := range n.membership().Members() {
+		if p := n.lead.members[m.ID]; p != nil && p.mode == replicating {
+			n.sendEntries(m.ID, p, false)
+		}
+	}
+}
+
+// sendEntries sends what the member lacks, as far as the limit of entries in
+// flight permits. A heartbeat is sent even without entries.
+func (n *Node) sendEntries(to ID, p *progress, heartbeat bool) {
+	for {
+		prevTerm, ok := n.log.term(p.next - 1)
+		if !ok {
+			n.startSnapshot(to, p)
+			return
+		}
+		var entries []Entry
+		if inFlight := p.next - 1 - p.match; p.mode == replicating && inFlight < n.config.MaxInFlight {
+			entries = n.log.batch(p.next, n.config.MaxInFlight-inFlight, n.config.MaxBatchBytes)
+		}
+		if len(entries) == 0 && !heartbeat {
+			return
+		}
+		n.send(to, AppendRequest{
+			Contact:   n.contact(p),
+			PrevIndex: p.next - 1,
+			PrevTerm:  prevTerm,
+			Commit:    n.commit,
+			Entries:   entries,
+		})
+		p.next += uint64(len(entries))
+		heartbeat = false
+	}
+}
+
+// heard records an answer and returns the sender's progress, nil if it is not a
+// member.
+func (n *Node) heard(from ID, a Answer) *progress {
+	if n.lead == nil {
+		return nil
+	}
+	p := n.lead.members[from]
+	if p == nil {
+		return nil
+	}
+	p.ackedRound = max(p.ackedRound, a.Round)
+	if a.Clock.Start != p.clock.Start || a.Clock.Since > p.clock.Since {
+		p.clock = a.Clock
+	}
+	if sent := n.start.Add(a.Sent); sent.After(p.ackedAt) {
+		p.ackedAt = sent
+	}
+	return p
+}
+
+// acknowledge handles an AppendResponse of the current term.
+func (n *Node) acknowledge(m Message, r AppendResponse) {
+	p := n.heard(m.From, r.Answer)
+	if p == nil {
+		return
+	}
+	if r.Rejected {
+		n.backtrack(m.From, p, r)
+	} else {
+		p.match = max(p.match, r.Index)
+		p.next = max(p.next, p.match+1)
+		if p.mode == probing || p.mode == snapshotting && r.Index >= p.snapshot.Index {
+			p.mode = replicating
+			p.snapshot = nil
+			p.next = p.match + 1
+		}
+	}
+	n.advanceCommit()
+	if p.mode == replicating {
+		n.sendEntries(m.From, p, false)
+	}
+}
+
+// backtrack moves to an earlier entry after a rejection, unless the rejection is
+// older than what is known by now.
+func (n *Node) backtrack(to ID, p *progress, r AppendResponse) {
+	if p.mode == snapshotting || r.Index <= p.match || r.Index >= p.next {
+		return
+	}
+	hint := min(r.Hint, r.Index-1)
+	if r.HintTerm > 0 {
+		hint, _ = n.log.upTo(hint, r.HintTerm)
+	}
+	p.mode = probing
+	p.next = max(hint, p.match) + 1
+	n.sendEntries(to, p, true)
+}
+
+// propose handles a Propose event.
+func (n *Node) propose(proposals []Proposal) {
+	reason := NotLeader
+	if n.lead != nil {
+		reason = Transferring
+	}
+	if n.lead == nil || !n.lead.transferTo.IsZero() {
+		for _, p := range proposals {
+			n.refuse(p.Token, reason)
+		}
+		return
+	}
+	for _, p := range proposals {
+		n.accept(p.Token, n.appendEntry(Command, p.Data))
+	}
+	n.replicate()
+	n.advanceCommit()
+}
+
+func (n *Node) accept(token, index uint64) {
+	n.pending.answers = append(n.pending.answers, Accepted{Token: token, Index: index, Term: n.state.Term})
+}
+
+// read handles a Read event with a round of heartbeats of its own.
+func (n *Node) read(tokens []uint64) {
+	if n.lead == nil {
+		for _, t := range tokens {
+			n.refuse(t, NotLeader)
+		}
+		return
+	}
+	n.broadcast()
+	// Until the barrier is committed, the leader may not know of all commits.
+	index := max(n.commit, n.lead.barrier)
+	n.lead.reads = append(n.lead.reads, pendingRead{tokens: tokens, round: n.lead.round, index: index})
+	n.advanceCommit()
+}
+
+func (l *leadership) answerReads(n *Node) {
+	round := quorumValue(n, math.MaxUint64, func(p *progress) uint64 { return p.ackedRound }, cmp.Compare[uint64])
+	for len(l.reads) > 0 && l.reads[0].round <= round && l.reads[0].index <= n.commit {
+		for _, t := range l.reads[0].tokens {
+			n.pending.reads = append(n.pending.reads, ReadReady{t})
+		}
+		l.reads = l.reads[1:]
+	}
+}
+
+func (l *leadership) refuseReads(n *Node) {
+	for _, r := range l.reads {
+		for _, t := range r.tokens {
+			n.refuse(t, NotLeader)
+		}
+	}
+}
+
+func (l *leadership) isActive(n *Node, id ID) bool {
+	p := l.members[id]
+	return id == n.config.ID || p != nil && n.now.Sub(p.ackedAt) < n.config.ElectionTimeout
+}
+
+// isCaughtUp reports whether a member has all that was committed within the
+// election timeout.
+func (l *leadership) isCaughtUp(n *Node, id ID) bool {
+	p := l.members[id]
+	if p == nil || !l.isActive(n, id) {
+		return false
+	}
+	return p.match >= n.commit || p.match > 0 && n.now.Sub(p.currentAt) < n.config.ElectionTimeout
+}
+
+func (l *leadership) describe(n *Node, s *Status) {
+	s.Confirmed = n.confirmed
+	for _, m := range n.membership().Members() {
+		if l.isActive(n, m.ID) {
+			s.Active = append(s.Active, m.ID)
+		}
+	}
+	for _, m := range n.membership().Learners {
+		if l.isCaughtUp(n, m.ID) {
+			s.CaughtUp = append(s.CaughtUp, m.ID)
+		}
+	}
+}
+
+// changeAllowed returns why no membership change may start now, or "". A leader
+// must have committed an entry of its term, or two leaders could each commit a
+// change that the other does not know of.
+func (n *Node) changeAllowed() Reason {
+	switch {
+	case n.lead == nil:
+		return NotLeader
+	case !n.lead.transferTo.IsZero():
+		return Transferring
+	case !n.isReady():
+		return NotReady
+	case n.history[len(n.history)-1].index > n.commit:
+		return ChangeOpen
+	}
+	return ""
+}
+
+func (n *Node) addLearner(ev AddLearner) {
+	reason := n.changeAllowed()
+	current := n.membership()
+	if reason == "" && find(current.Members(), ev.Member.ID) >= 0 {
+		reason = MemberExists
+	}
+	if reason != "" {
+		n.refuse(ev.Token, reason)
+		return
+	}
+	n.change(ev.Token, current.withLearner(ev.Member))
+}
+
+func (n *Node) promote(ev Promote) {
+	reason := n.changeAllowed()
+	current := n.membership()
+	switch {
+	case reason != "":
+	case !current.IsLearner(ev.ID):
+		reason = NoSuchMember
+	case !n.lead.isCaughtUp(n, ev.ID):
+		reason = NotCaughtUp
+	case !n.hasActiveQuorum(current.withPromoted(ev.ID)):
+		reason = NoQuorum
+	}
+	if reason != "" {
+		n.refuse(ev.Token, reason)
+		return
+	}
+	n.change(ev.Token, current.withPromoted(ev.ID))
+}
+
+func (n *Node) remove(ev Remove) {
+	reason := n.changeAllowed()
+	current := n.membership()
+	switch {
+	case reason != "":
+	case ev.ID == n.config.ID:
+		reason = IsLeader
+	case find(current.Members(), ev.ID) < 0:
+		reason = NoSuchMember
+	case !n.hasActiveQuorum(current.without(ev.ID)):
+		reason = NoQuorum
+	}
+	if reason != "" {
+		n.refuse(ev.Token, reason)
+		return
+	}
+	n.change(ev.Token, current.without(ev.ID))
+}
+
+// hasActiveQuorum reports whether enough voters of a membership are in contact.
+// Without them the change could not be committed, nor anything after it.
+func (n *Node) hasActiveQuorum(m Membership) bool {
+	active := 0
+	for _, v := range m.Voters {
+		if n.lead.isActive(n, v.ID) {
+			active++
+		}
+	}
+	return active >= m.quorum()
+}
+
+// change appends a membership, which takes effect at once.
+func (n *Node) change(token uint64, m Membership) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // a Membership always has a JSON form
+	}
+	index := n.appendEntry(Change, data)
+	n.history = append(n.history, membershipAt{index: index, membership: m})
+	n.lead.syncMembers(n)
+	n.accept(token, index)
+	n.broadcast()
+	n.advanceCommit()
+}
+
+func (n *Node) transfer(ev Transfer) {
+	if n.lead == nil {
+		n.refuse(ev.Token, NotLeader)
+		return
+	}
+	if !n.lead.transferTo.IsZero() {
+		n.refuse(ev.Token, Transferring)
+		return
+	}
+	to := ev.To
+	if to.IsZero() {
+		to = n.lead.bestSuccessor(n)
+	}
+	if to == n.config.ID || !n.membership().IsVoter(to) {
+		n.refuse(ev.Token, NoSuchMember)
+		return
+	}
+	n.lead.transferTo = to
+	n.lead.transferToken = ev.Token
+	n.lead.transferSince = n.now
+	n.lead.timeoutSent = false
+	n.continueTransfer()
+}
+
+// bestSuccessor returns the active voter whose log is longest, zero if none.
+func (l *leadership) bestSuccessor(n *Node) ID {
+	var best ID
+	for _, m := range n.membership().Voters {
+		p := l.members[m.ID]
+		if p == nil || !l.isActive(n, m.ID) {
+			continue
+		}
+		if best.IsZero() || p.match > l.members[best].match {
+			best = m.ID
+		}
+	}
+	return best
+}
+
+// continueTransfer tells the successor to campaign once its log is complete.
+func (n *Node) continueTransfer() {
+	l := n.lead
+	if l.transferTo.IsZero() || l.timeoutSent {
+		return
+	}
+	if p := l.members[l.transferTo]; p != nil && p.match == n.log.lastIndex() {
+		l.timeoutSent = true
+		n.send(l.transferTo, TimeoutNow{})
+	}
+}
--- /dev/null
+++ b/coordination/shraft/node.go
@@ -0,0 +1,343 @@
+package shraft
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Node is the state machine of one member. It is not safe for concurrent use.
+type Node struct {
+	config Config
+	random *rand.Rand
+	// start is the zero of the clock values that this node sends, and
+	// incarnation tells them from those before a restart.
+	start       time.Time
+	incarnation uint64
+	now         time.Time
+
+	state    HardState
+	snapshot Snapshot
+	log      raftLog
+	history  memberships
+	commit   uint64
+	applied  uint64
+
+	role      Role
+	leader    ID
+	heardAt   time.Time // last message of the leader
+	deadline  time.Time // next campaign
+	confirmed time.Time // see Status.Confirmed
+	votes     map[ID]bool
+	votedAt   time.Time // start of the campaign
+	partial   partialSnapshot
+	lead      *leadership // nil unless role is Leader
+
+	// Effects of the event in progress.
+	pending pendingEffects
+	// reported is the last RoleChanged.
+	reported RoleChanged
+}
+
+// pendingEffects collects effects, which flush puts in order.
+type pendingEffects struct {
+	state       bool
+	snapshot    bool
+	reset       bool
+	keep        uint64
+	unsavedFrom uint64 // first changed entry, zero if none
+	restore     bool
+	answers     []Effect
+	sends       []Effect
+	reads       []Effect
+}
+
+// New makes a node from what is stored. The effects restore the state machine
+// and must be carried out before the first Step.
+func New(config Config, stored Stored, now time.Time) (*Node, []Effect, error) {
+	config = config.withDefaults()
+	if err := config.validate(); err != nil {
+		return nil, nil, &Error{Op: "new", Kind: KindConfig, Err: err}
+	}
+	log, reset, err := newLog(stored.Snapshot, stored.Entries)
+	if err != nil {
+		return nil, nil, &Error{Op: "new", Kind: KindStored, Err: err}
+	}
+	if log.lastTerm() > stored.State.Term {
+		err := fmt.Errorf("entry of term %d after term %d", log.lastTerm(), stored.State.Term)
+		return nil, nil, &Error{Op: "new", Kind: KindStored, Err: err}
+	}
+	n := &Node{
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Seed, config.Seed)),
+		start:    now,
+		now:      now,
+		state:    stored.State,
+		snapshot: stored.Snapshot,
+		log:      log,
+		history:  memberships{{index: stored.Snapshot.Index, membership: stored.Snapshot.Membership}},
+		commit:   stored.Snapshot.Index,
+		applied:  stored.Snapshot.Index,
+		role:     Follower,
+	}
+	n.incarnation = n.random.Uint64() | 1
+	for _, e := range log.entries {
+		if e.Index <= stored.Snapshot.Index {
+			continue
+		}
+		if n.history, err = n.history.append(e); err != nil {
+			return nil, nil, &Error{Op: "new", Kind: KindStored, Err: err}
+		}
+	}
+	n.resetDeadline()
+	n.pending.restore = n.snapshot.Index > 0
+	n.pending.snapshot, n.pending.reset = reset, reset
+	return n, n.flush(), nil
+}
+
+// Step takes one event. The time should come from a clock that does not jump;
+// its wall clock stamps new entries.
+func (n *Node) Step(now time.Time, ev Event) []Effect {
+	n.now = now
+	switch ev := ev.(type) {
+	case Tick:
+		n.tick()
+	case Receive:
+		n.receive(ev.Message)
+	case Propose:
+		n.propose(ev.Proposals)
+	case Read:
+		n.read(ev.Tokens)
+	case AddLearner:
+		n.addLearner(ev)
+	case Promote:
+		n.promote(ev)
+	case Remove:
+		n.remove(ev)
+	case Transfer:
+		n.transfer(ev)
+	case Compact:
+		n.compact(ev)
+	}
+	return n.flush()
+}
+
+// Status describes the node after its last event.
+func (n *Node) Status() Status {
+	s := Status{
+		ID:         n.config.ID,
+		Role:       n.role,
+		Term:       n.state.Term,
+		Leader:     n.leader,
+		Ready:      n.isReady(),
+		Commit:     n.commit,
+		Last:       n.log.lastIndex(),
+		Membership: n.membership(),
+		Confirmed:  n.confirmed,
+	}
+	if n.lead != nil {
+		n.lead.describe(n, &s)
+	}
+	return s
+}
+
+func (n *Node) membership() Membership { return n.history.current() }
+
+// clock is the time since the node started, which no step of the wall clock
+// changes.
+func (n *Node) clock() time.Duration { return n.now.Sub(n.start) }
+
+func (n *Node) resetDeadline() {
+	spread := int64(n.config.ElectionTimeoutMax - n.config.ElectionTimeout)
+	n.deadline = n.now.Add(n.config.ElectionTimeout + time.Duration(n.random.Int64N(spread)))
+}
+
+func (n *Node) tick() {
+	if n.lead != nil {
+		n.tickLeader()
+		return
+	}
+	if n.now.Before(n.deadline) {
+		return
+	}
+	n.leader = ID{}
+	n.resetDeadline()
+	if n.membership().IsVoter(n.config.ID) {
+		n.campaign(PreCandidate, false)
+	}
+}
+
+// receive sorts a message by its term and hands it to the handler of its type.
+func (n *Node) receive(m Message) {
+	if m.To != n.config.ID || m.From == n.config.ID {
+		return
+	}
+	if !n.adoptTerm(m) {
+		return
+	}
+	switch b := m.Body.(type) {
+	case VoteRequest:
+		n.vote(m, b)
+	case VoteResponse:
+		n.countVote(m, b)
+	case AppendRequest:
+		n.acceptEntries(m, b)
+	case SnapshotRequest:
+		n.acceptSnapshot(m, b)
+	case AppendResponse:
+		n.acknowledge(m, b)
+	case SnapshotResponse:
+		n.continueSnapshot(m, b)
+	case TimeoutNow:
+		if n.role == Follower && m.From == n.leader && n.membership().IsVoter(n.config.ID) {
+			n.campaign(Candidate, true)
+		}
+	}
+}
+
+// adoptTerm moves to the message's term if that is newer. It reports whether the
+// message is to be handled.
+func (n *Node) adoptTerm(m Message) bool {
+	switch b := m.Body.(type) {
+	case VoteRequest:
+		// A node that hears a leader keeps it: a partitioned or removed node
+		// cannot disrupt the group.
+		if !b.Transfer && n.hearsLeader() {
+			return false
+		}
+		if b.Pre && m.Term > n.state.Term {
+			return true
+		}
+	case VoteResponse:
+		// A granted pre-vote names the term that the candidate may start.
+		if b.Pre && b.Granted {
+			return n.role == PreCandidate && m.Term == n.state.Term+1
+		}
+	}
+	switch {
+	case m.Term > n.state.Term:
+		n.follow(m.Term, ID{})
+	case m.Term < n.state.Term:
+		n.refuseStale(m)
+		return false
+	}
+	return true
+}
+
+// refuseStale tells a sender of an older term about this node's term.
+func (n *Node) refuseStale(m Message) {
+	switch b := m.Body.(type) {
+	case VoteRequest:
+		n.send(m.From, VoteResponse{Pre: b.Pre})
+	case AppendRequest:
+		n.send(m.From, AppendResponse{Answer: n.answer(b.Contact), Index: b.PrevIndex, Rejected: true})
+	case SnapshotRequest:
+		n.send(m.From, AppendResponse{Answer: n.answer(b.Contact), Index: b.Index, Rejected: true})
+	}
+}
+
+// follow becomes a follower in a term that is not below the current one.
+func (n *Node) follow(term uint64, leader ID) {
+	if term > n.state.Term {
+		n.state = HardState{Term: term}
+		n.pending.state = true
+	}
+	if n.lead != nil {
+		n.lead.refuseReads(n)
+		n.lead = nil
+		n.resetDeadline()
+	}
+	n.role = Follower
+	n.leader = leader
+	n.votes = nil
+}
+
+// hearsLeader reports whether a leader was in contact within the election
+// timeout.
+func (n *Node) hearsLeader() bool {
+	if n.lead != nil {
+		return true
+	}
+	return !n.leader.IsZero() && n.now.Sub(n.heardAt) < n.config.ElectionTimeout
+}
+
+func (n *Node) isReady() bool { return n.lead != nil && n.commit >= n.lead.barrier }
+
+func (n *Node) send(to ID, b Body) { n.sendTerm(to, n.state.Term, b) }
+
+func (n *Node) sendTerm(to ID, term uint64, b Body) {
+	n.pending.sends = append(n.pending.sends, Send{Message{From: n.config.ID, To: to, Term: term, Body: b}})
+}
+
+func (n *Node) refuse(token uint64, r Reason) {
+	n.pending.answers = append(n.pending.answers, Refused{Token: token, Reason: r})
+}
+
+// unsaved marks entries from index on as not yet stored.
+func (n *Node) unsaved(index uint64) {
+	if n.pending.unsavedFrom == 0 || index < n.pending.unsavedFrom {
+		n.pending.unsavedFrom = index
+	}
+}
+
+// compact handles a Compact event.
+func (n *Node) compact(ev Compact) {
+	term, ok := n.log.term(ev.Index)
+	if !ok || ev.Index <= n.snapshot.Index || ev.Index > n.applied {
+		return
+	}
+	n.history = n.history.compact(ev.Index)
+	n.snapshot = Snapshot{Index: ev.Index, Term: term, Membership: n.history[0].membership, Data: ev.Data}
+	if ev.Index > n.config.Trailing {
+		n.log.dropBefore(ev.Index - n.config.Trailing + 1)
+	}
+	n.pending.snapshot = true
+	n.pending.keep = n.log.prevIndex + 1
+}
+
+// flush returns the effects of the event: what must be durable comes before what
+// others may see.
+func (n *Node) flush() []Effect {
+	p := n.pending
+	n.pending = pendingEffects{}
+	var effects []Effect
+	if p.state || p.snapshot || p.unsavedFrom > 0 {
+		effects = append(effects, n.persist(p))
+	}
+	if p.restore {
+		effects = append(effects, Restore{n.snapshot})
+	}
+	effects = append(effects, p.answers...)
+	effects = append(effects, p.sends...)
+	if n.commit > n.applied {
+		effects = append(effects, Apply{n.log.between(n.applied, n.commit)})
+		n.applied = n.commit
+	}
+	effects = append(effects, p.reads...)
+	current := RoleChanged{Role: n.role, Term: n.state.Term, Leader: n.leader, Ready: n.isReady()}
+	if current != n.reported {
+		n.reported = current
+		effects = append(effects, current)
+	}
+	return effects
+}
+
+func (n *Node) persist(p pendingEffects) Persist {
+	e := Persist{Reset: p.reset, Keep: p.keep}
+	if p.state {
+		state := n.state
+		e.State = &state
+	}
+	if p.snapshot {
+		snapshot := n.snapshot
+		e.Snapshot = &snapshot
+	}
+	if p.unsavedFrom > 0 {
+		e.Entries = n.log.between(p.unsavedFrom-1, n.log.lastIndex())
+	}
+	return e
+}
+
+// errLostCommit marks a broken invariant: continuing would corrupt the state.
+var errLostCommit = errors.New("shraft: a committed entry would be replaced")
