--- /dev/null
+++ b/transport/shpeer/client.go
@@ -0,0 +1,273 @@
+package shpeer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Client calls peers through pooled connections. Make one with NewClient.
+type Client struct {
+	config Config
+	slots  chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool holds the connections to one address.
+type pool struct {
+	next  atomic.Uint32
+	conns []*pooledConn
+}
+
+// pooledConn is a place for one connection, which is dialled when it is needed.
+type pooledConn struct {
+	client  *Client
+	address string
+	// dialing is a lock that a context can give up on.
+	dialing chan struct{}
+	conn    atomic.Pointer[jsonrpc2.Conn]
+}
+
+// NewClient returns a client without connections.
+func NewClient(config Config) *Client {
+	config = config.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Client{
+		config: config,
+		slots:  make(chan struct{}, config.MaxCalls),
+		ctx:    ctx,
+		cancel: cancel,
+		pools:  make(map[string]*pool),
+	}
+}
+
+// Close closes all connections. Calls in progress end with KindClosed.
+func (c *Client) Close() error {
+	c.cancel()
+	return nil
+}
+
+// Call calls a method of the peer at address and decodes its answer. It returns
+// by the deadline of ctx, or after Config.CallTimeout if ctx has none. All
+// errors are of type *Error.
+func Call[Resp any](ctx context.Context, c *Client, address, method string, req any) (Resp, error) {
+	var resp Resp
+	err := c.call(ctx, address, method, req, &resp)
+	return resp, err
+}
+
+// Notify sends a notification to the peer at address. It returns when the
+// message was handed to the operating system or could not be; delivery is not
+// confirmed.
+func Notify(ctx context.Context, c *Client, address, method string, req any) error {
+	params, err := c.encode(method, req)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.withTimeout(ctx)
+	defer cancel()
+	// Notifications always use the first connection, which keeps their order.
+	conn, err := c.pool(address).conns[0].get(ctx)
+	if err != nil {
+		return newError(method, KindUnreachable, err)
+	}
+	sent := make(chan error, 1)
+	go func() { sent <- conn.Notify(ctx, method, params) }()
+	select {
+	case err := <-sent:
+		if err != nil {
+			return newError(method, KindClosed, err)
+		}
+		return nil
+	case <-ctx.Done():
+		return newError(method, KindTimeout, ctx.Err())
+	}
+}
+
+func (c *Client) encode(method string, req any) (json.RawMessage, error) {
+	params, err := json.Marshal(req)
+	if err != nil {
+		return nil, newError(method, KindInvalid, err)
+	}
+	if len(params) > c.config.MaxMessageBytes {
+		return nil, newError(method, KindTooLarge, fmt.Errorf("request of %d bytes", len(params)))
+	}
+	return params, nil
+}
+
+func (c *Client) withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, c.config.CallTimeout)
+}
+
+func (c *Client) call(ctx context.Context, address, method string, req, resp any) error {
+	params, err := c.encode(method, req)
+	if err != nil {
+		return err
+	}
+	select {
+	case c.slots <- struct{}{}:
+		defer func() { <-c.slots }()
+	default:
+		return newError(method, KindBusy, errors.New("too many calls in progress"))
+	}
+	ctx, cancel := c.withTimeout(ctx)
+	defer cancel()
+	p := c.pool(address)
+	place := p.conns[int(p.next.Add(1))%len(p.conns)]
+	conn, err := place.get(ctx)
+	if err != nil {
+		return newError(method, KindUnreachable, err)
+	}
+	raw, err := exchange(ctx, conn, method, params)
+	if err != nil {
+		return fromWire(method, err)
+	}
+	if err := json.Unmarshal(raw, resp); err != nil {
+		return newError(method, KindInvalid, err)
+	}
+	return nil
+}
+
+// exchange runs one call. jsonrpc2 ignores the context while it writes, so the
+// call runs beside the wait for the context.
+func exchange(ctx context.Context, conn *jsonrpc2.Conn, method string, params json.RawMessage) (json.RawMessage, error) {
+	type answer struct {
+		raw json.RawMessage
+		err error
+	}
+	done := make(chan answer, 1)
+	go func() {
+		var a answer
+		var options []jsonrpc2.CallOption
+		if deadline, ok := ctx.Deadline(); ok {
+			left := max(time.Until(deadline).Milliseconds(), 1)
+			options = append(options, jsonrpc2.Meta(meta{TimeoutMS: left}))
+		}
+		a.err = conn.Call(ctx, method, params, &a.raw, options...)
+		done <- a
+	}()
+	select {
+	case a := <-done:
+		return a.raw, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// fromWire converts the error of a call.
+func fromWire(method string, err error) error {
+	var wire *jsonrpc2.Error
+	switch {
+	case errors.As(err, &wire):
+		data := wireData{Kind: KindFailed}
+		if wire.Data != nil {
+			// Undecodable data leaves the default kind.
+			_ = json.Unmarshal(*wire.Data, &data)
+		}
+		return &Error{Op: method, Kind: data.Kind, Err: errors.New(wire.Message), Data: data.Data}
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return newError(method, KindTimeout, err)
+	default:
+		return newError(method, KindClosed, err)
+	}
+}
+
+func (c *Client) pool(address string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[address]
+	if p == nil {
+		p = new(pool)
+		for range c.config.Connections {
+			p.conns = append(p.conns, &pooledConn{client: c, address: address, dialing: make(chan struct{}, 1)})
+		}
+		c.pools[address] = p
+	}
+	return p
+}
+
+func (p *pooledConn) current() *jsonrpc2.Conn {
+	conn := p.conn.Load()
+	if conn == nil {
+		return nil
+	}
+	select {
+	case <-conn.DisconnectNotify():
+		return nil
+	default:
+		return conn
+	}
+}
+
+// get returns the open connection or dials one.
+func (p *pooledConn) get(ctx context.Context) (*jsonrpc2.Conn, error) {
+	if conn := p.current(); conn != nil {
+		return conn, nil
+	}
+	select {
+	case p.dialing <- struct{}{}:
+		defer func() { <-p.dialing }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if conn := p.current(); conn != nil {
+		return conn, nil
+	}
+	if err := p.client.ctx.Err(); err != nil {
+		return nil, errors.New("client is closed")
+	}
+	// A dial to a silent address must not hold up callers with later deadlines.
+	d := net.Dialer{Timeout: p.client.config.Silence}
+	raw, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	config := p.client.config
+	counted := newCountedConn(raw, config.Silence, config.Traffic.counter(p.address))
+	stream := jsonrpc2.NewBufferedStream(counted, boundedCodec{config.MaxMessageBytes})
+	conn := jsonrpc2.NewConn(p.client.ctx, stream, refuseRequests{}, jsonrpc2.SetLogger(connLogger))
+	p.conn.Store(conn)
+	go p.client.ping(conn)
+	return conn, nil
+}
+
+// ping keeps a connection from going silent. The answers reset the read
+// deadline of this end, the pings that of the other.
+func (c *Client) ping(conn *jsonrpc2.Conn) {
+	ticker := time.NewTicker(c.config.Ping)
+	defer ticker.Stop()
+	for {
+		if _, err := conn.DispatchCall(c.ctx, methodPing, ping{Address: c.config.Self}); err != nil {
+			// The connection may still be open after a failed write.
+			_ = conn.Close()
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-conn.DisconnectNotify():
+			return
+		}
+	}
+}
+
+// refuseRequests is the handler of a client's end: servers send no requests.
+type refuseRequests struct{}
+
+// Handle implements jsonrpc2.Handler.
+func (refuseRequests) Handle(_ context.Context, conn *jsonrpc2.Conn, _ *jsonrpc2.Request) {
+	_ = conn.Close()
+}
--- /dev/null
+++ b/transport/shpeer/conn.go
@@ -0,0 +1,134 @@
+package shpeer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bytes are counts of bytes on connections, without TCP and IP headers.
+type Bytes struct {
+	Sent     uint64 `json:"sent"`
+	Received uint64 `json:"received"`
+}
+
+// Traffic counts the bytes exchanged with each peer. Its zero value is ready.
+// Connections of a client count under the address that was dialled. Accepted
+// connections count under the address that the client stated, and until then
+// under the remote IP address.
+type Traffic struct {
+	mu     sync.Mutex
+	counts map[string]*counter
+}
+
+type counter struct {
+	sent     atomic.Uint64
+	received atomic.Uint64
+}
+
+// Snapshot returns the counts by address since the start of the process.
+func (t *Traffic) Snapshot() map[string]Bytes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make(map[string]Bytes, len(t.counts))
+	for address, c := range t.counts {
+		counts[address] = Bytes{Sent: c.sent.Load(), Received: c.received.Load()}
+	}
+	return counts
+}
+
+func (t *Traffic) counter(address string) *counter {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.counts[address]
+	if c == nil {
+		if t.counts == nil {
+			t.counts = make(map[string]*counter)
+		}
+		c = new(counter)
+		t.counts[address] = c
+	}
+	return c
+}
+
+// countedConn counts bytes and fails reads and writes that make no progress for
+// the silence limit.
+type countedConn struct {
+	net.Conn
+	silence time.Duration
+	count   atomic.Pointer[counter]
+}
+
+func newCountedConn(c net.Conn, silence time.Duration, count *counter) *countedConn {
+	cc := &countedConn{Conn: c, silence: silence}
+	cc.count.Store(count)
+	return cc
+}
+
+// Read implements io.Reader.
+func (c *countedConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.count.Load().received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements io.Writer.
+func (c *countedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.silence)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.count.Load().sent.Add(uint64(n))
+	return n, err
+}
+
+// boundedCodec frames JSON with a length of four bytes, big endian. It refuses
+// frames over maxBytes before it allocates memory for them.
+type boundedCodec struct {
+	maxBytes int
+}
+
+// envelopeBytes is an allowance for what JSON-RPC adds to params and results.
+const envelopeBytes = 4096
+
+func (b boundedCodec) limit() int { return b.maxBytes + envelopeBytes }
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (b boundedCodec) WriteObject(w io.Writer, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(data) > b.limit() {
+		return fmt.Errorf("message of %d bytes exceeds %d", len(data), b.limit())
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(data)), uint32(len(data)))
+	_, err = w.Write(append(frame, data...))
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (b boundedCodec) ReadObject(r *bufio.Reader, v any) error {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	size := int64(binary.BigEndian.Uint32(head[:]))
+	if size > int64(b.limit()) {
+		return fmt.Errorf("message of %d bytes exceeds %d", size, b.limit())
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, v)
+}
--- /dev/null
+++ b/transport/shpeer/server.go
@@ -0,0 +1,233 @@
+package shpeer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+type handlerFunc func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Server answers calls of peers. Make one with NewServer.
+type Server struct {
+	config Config
+	slots  chan struct{}
+	ctx    context.Context
+	cancel context.CancelFunc
+	active sync.WaitGroup
+
+	mu        sync.Mutex
+	handlers  map[string]handlerFunc
+	listeners []net.Listener
+}
+
+// NewServer returns a server without handlers or listeners.
+func NewServer(config Config) *Server {
+	config = config.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		config:   config,
+		slots:    make(chan struct{}, config.MaxCalls),
+		ctx:      ctx,
+		cancel:   cancel,
+		handlers: make(map[string]handlerFunc),
+	}
+}
+
+// Handle registers the handler of a method. The context ends at the caller's
+// deadline, when the connection closes and when the server closes. Handlers may
+// be added while the server runs; a second one for a method replaces the first.
+func Handle[Req, Resp any](s *Server, method string, f func(context.Context, Req) (Resp, error)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handlers[method] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		var req Req
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, newError(method, KindInvalid, err)
+		}
+		return f(ctx, req)
+	}
+}
+
+// Serve accepts connections until the listener or the server closes. It returns
+// nil in that case.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.ctx.Err() != nil {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// Accept fails for a moment when file descriptors run out.
+			s.config.Logger.Warn("accepting a peer connection failed", "error", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		s.serveConn(c)
+	}
+}
+
+func (s *Server) serveConn(c net.Conn) {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		host = c.RemoteAddr().String()
+	}
+	counted := newCountedConn(c, s.config.Silence, s.config.Traffic.counter(host))
+	stream := jsonrpc2.NewBufferedStream(counted, boundedCodec{s.config.MaxMessageBytes})
+	h := &serverHandler{server: s, conn: counted}
+	jsonrpc2.NewConn(s.ctx, stream, h, jsonrpc2.SetLogger(connLogger))
+}
+
+// Close closes listeners and connections and waits for handlers to return.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.cancel()
+	var errs []error
+	for _, l := range s.listeners {
+		errs = append(errs, l.Close())
+	}
+	s.mu.Unlock()
+	s.active.Wait()
+	return errors.Join(errs...)
+}
+
+// begin counts a handler as active unless the server closed.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.active.Add(1)
+	return true
+}
+
+// serverHandler handles the requests of one connection.
+type serverHandler struct {
+	server *Server
+	conn   *countedConn
+}
+
+// Handle implements jsonrpc2.Handler.
+func (h *serverHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	if !h.server.begin() {
+		return
+	}
+	if r.Method == methodPing {
+		defer h.server.active.Done()
+		h.ping(ctx, conn, r)
+		return
+	}
+	if r.Notif {
+		defer h.server.active.Done()
+		if _, err := h.run(ctx, r); err != nil {
+			h.server.config.Logger.Debug("notification failed", "method", r.Method, "error", err)
+		}
+		return
+	}
+	select {
+	case h.server.slots <- struct{}{}:
+	default:
+		defer h.server.active.Done()
+		err := newError(r.Method, KindBusy, errors.New("too many calls in progress"))
+		h.answer(ctx, conn, r, nil, err)
+		return
+	}
+	go func() {
+		defer h.server.active.Done()
+		defer func() { <-h.server.slots }()
+		result, err := h.run(ctx, r)
+		h.answer(ctx, conn, r, result, err)
+	}()
+}
+
+func (h *serverHandler) ping(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	var p ping
+	if r.Params != nil && json.Unmarshal(*r.Params, &p) == nil && p.Address != "" {
+		traffic := h.server.config.Traffic
+		next := traffic.counter(p.Address)
+		// Bytes before the first ping stay under the IP address; they are few.
+		h.conn.count.Store(next)
+	}
+	// A failed write closes the connection.
+	_ = conn.Reply(ctx, r.ID, struct{}{})
+}
+
+func (h *serverHandler) run(ctx context.Context, r *jsonrpc2.Request) (any, error) {
+	h.server.mu.Lock()
+	f := h.server.handlers[r.Method]
+	h.server.mu.Unlock()
+	if f == nil {
+		return nil, newError(r.Method, KindMethod, errors.New("no such method"))
+	}
+	var m meta
+	if r.Meta != nil && json.Unmarshal(*r.Meta, &m) == nil && m.TimeoutMS > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(m.TimeoutMS)*time.Millisecond)
+		defer cancel()
+	}
+	params := json.RawMessage("null")
+	if r.Params != nil {
+		params = *r.Params
+	}
+	return f(ctx, params)
+}
+
+func (h *serverHandler) answer(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request, result any, err error) {
+	resp := &jsonrpc2.Response{ID: r.ID}
+	if err == nil {
+		err = h.setResult(resp, r.Method, result)
+	}
+	if err != nil {
+		resp.Error = toWire(r.Method, err)
+	}
+	if err := conn.SendResponse(ctx, resp); err != nil {
+		h.server.config.Logger.Debug("answer not sent", "method", r.Method, "error", err)
+	}
+}
+
+func (h *serverHandler) setResult(resp *jsonrpc2.Response, method string, result any) error {
+	if err := resp.SetResult(result); err != nil {
+		return newError(method, KindInvalid, err)
+	}
+	if size := len(*resp.Result); size > h.server.config.MaxMessageBytes {
+		resp.Result = nil
+		return newError(method, KindTooLarge, fmt.Errorf("answer of %d bytes", size))
+	}
+	return nil
+}
+
+// toWire converts the error of a handler.
+func toWire(method string, err error) *jsonrpc2.Error {
+	data := wireData{Kind: KindFailed}
+	message := err.Error()
+	if e, ok := errors.AsType[*Error](err); ok {
+		data = wireData{Kind: e.Kind, Data: e.Data}
+		message = e.Err.Error()
+	} else if e, ok := errors.AsType[WireError](err); ok {
+		data.Kind = e.WireKind()
+		if encoded, jsonErr := json.Marshal(e.WireData()); jsonErr == nil {
+			data.Data = encoded
+		}
+	}
+	code := int64(jsonrpc2.CodeInternalError)
+	if data.Kind == KindMethod {
+		code = jsonrpc2.CodeMethodNotFound
+	}
+	wire := &jsonrpc2.Error{Code: code, Message: message}
+	wire.SetError(data)
+	return wire
+}
--- /dev/null
+++ b/transport/shpeer/shpeer.go
@@ -0,0 +1,168 @@
+// Package shpeer is the jsonrpc2 transport between processes of the system.
+//
+// A Server answers calls and notifications on accepted TCP connections. A
+// Client keeps a few connections per address and shares them between calls.
+// The client pings every connection, and both ends close a connection on which
+// nothing arrived for the silence limit, so a connection that goes silent is
+// replaced while calls on it end by their own deadlines.
+//
+// Calls run concurrently and in no particular order. Notifications sent through
+// one Client to one address are handled one at a time in the order of sending;
+// their handlers must not block.
+//
+// An Error keeps its kind and its data across the wire. Another error type does
+// so by implementing WireError.
+package shpeer
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"time"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxMessageBytes = 16 << 20
+	DefaultMaxCalls        = 1024
+	DefaultConnections     = 2
+	DefaultPing            = 500 * time.Millisecond
+	// DefaultSilence is three lost pings: one may be late on a link that a
+	// traffic shift fills.
+	DefaultSilence     = 1500 * time.Millisecond
+	DefaultCallTimeout = 5 * time.Second
+)
+
+// Config configures a Server or a Client. Zero fields take the defaults.
+type Config struct {
+	// Self is the peer address of this process, IP:port. A client states it, and
+	// the server at the other end accounts traffic under it.
+	Self string
+	// MaxMessageBytes bounds one message, in bytes of JSON.
+	MaxMessageBytes int
+	// MaxCalls bounds the calls in progress, per Server and per Client.
+	MaxCalls int
+	// Connections is the number of connections per address.
+	Connections int
+	Ping        time.Duration
+	Silence     time.Duration
+	// CallTimeout applies to calls whose context has no deadline.
+	CallTimeout time.Duration
+	// Traffic counts bytes. A Server and a Client may share one.
+	Traffic *Traffic
+	Logger  *slog.Logger
+}
+
+func (c Config) withDefaults() Config {
+	defaultTo(&c.MaxMessageBytes, DefaultMaxMessageBytes)
+	defaultTo(&c.MaxCalls, DefaultMaxCalls)
+	defaultTo(&c.Connections, DefaultConnections)
+	defaultTo(&c.Ping, DefaultPing)
+	defaultTo(&c.Silence, DefaultSilence)
+	defaultTo(&c.CallTimeout, DefaultCallTimeout)
+	if c.Traffic == nil {
+		c.Traffic = new(Traffic)
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	return c
+}
+
+func defaultTo[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Kind classifies an Error. Handlers may use kinds of their own.
+type Kind string
+
+// Kinds.
+const (
+	// KindUnreachable says that no connection was made, so nothing was sent.
+	KindUnreachable Kind = "unreachable"
+	// KindBusy says that a limit on calls refused the call before it ran.
+	KindBusy Kind = "busy"
+	// KindTooLarge says that a message exceeds MaxMessageBytes. A request that is
+	// too large was not sent; a handler whose answer is too large has run.
+	KindTooLarge Kind = "too-large"
+	// KindTimeout says that the deadline passed; the call may have run.
+	KindTimeout Kind = "timeout"
+	// KindClosed says that the connection broke; the call may have run.
+	KindClosed Kind = "closed"
+	// KindMethod says that the peer has no such method, so nothing ran.
+	KindMethod Kind = "method"
+	// KindInvalid says that a message could not be encoded or decoded.
+	KindInvalid Kind = "invalid"
+	// KindFailed is the kind of a handler's error that states none.
+	KindFailed Kind = "failed"
+)
+
+// Error is the error type of this package. Op is the method. Data is JSON that
+// the kind defines, or nil.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+	Data json.RawMessage
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// WireError is implemented by errors of other packages that keep their kind and
+// data when a handler returns them.
+type WireError interface {
+	error
+	// WireKind returns the kind of the Error that the caller gets.
+	WireKind() Kind
+	// WireData returns a value that is encoded as JSON, or nil.
+	WireData() any
+}
+
+// KindOf returns the kind of the first Error in the chain of err, or "".
+func KindOf(err error) Kind {
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e.Kind
+	}
+	return ""
+}
+
+func newError(op string, kind Kind, err error) *Error {
+	return &Error{Op: op, Kind: kind, Err: err}
+}
+
+// Methods and metadata of the package itself.
+const methodPing = "peer.ping"
+
+type ping struct {
+	// Address is the peer address of the sender.
+	Address string `json:"address,omitempty"`
+}
+
+// meta travels with a call.
+type meta struct {
+	// TimeoutMS is what is left of the caller's deadline, in milliseconds.
+	TimeoutMS int64 `json:"timeoutMs"`
+}
+
+// wireData is the data of a JSON-RPC error.
+type wireData struct {
+	Kind Kind            `json:"kind"`
+	Data json.RawMessage `json:"data,omitempty"`
+}
+
+// connLogger drops what jsonrpc2 logs about a connection that ends: the caller
+// gets an error for every call on it.
+var connLogger = log.New(discard{}, "", 0)
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
