--- /dev/null
+++ b/transport/shstore/peers.go
@@ -0,0 +1,175 @@
+package shstore
+
+import (
+	"context"
+	"time"
+
+	"sequoiahollow/coordination/shraft"
+	"sequoiahollow/transport/shpeer"
+)
+
+// Methods between stores.
+const (
+	methodMessage  = "raft.message"
+	methodIdentity = "raft.identity"
+	methodJoin     = "raft.join"
+)
+
+// messages is the notification methodMessage. Address is the sender's.
+type messages struct {
+	Address  string           `json:"address"`
+	Messages []shraft.Message `json:"messages"`
+}
+
+// identity is the answer to methodIdentity.
+type identity struct {
+	Member shraft.Member `json:"member"`
+	// Empty says that the node never took part in a group.
+	Empty bool `json:"empty"`
+}
+
+// joinRequest asks for membership.
+type joinRequest struct {
+	Member shraft.Member `json:"member"`
+}
+
+// none is an empty request or answer.
+type none struct{}
+
+// handle registers the handlers of the store.
+func (s *Store) handle() {
+	shpeer.Handle(s.config.Server, methodMessage, func(_ context.Context, m messages) (none, error) {
+		for _, message := range m.Messages {
+			select {
+			case s.inbox <- delivery{address: m.Address, message: message}:
+			default:
+				// The owner is busy; Raft repeats what is lost.
+			}
+		}
+		return none{}, nil
+	})
+	shpeer.Handle(s.config.Server, methodIdentity, func(ctx context.Context, _ none) (identity, error) {
+		var answer identity
+		err := s.Inspect(ctx, func() {
+			answer = identity{Member: s.member(), Empty: s.isEmpty()}
+		})
+		return answer, err
+	})
+	shpeer.Handle(s.config.Server, methodJoin, func(ctx context.Context, r joinRequest) (none, error) {
+		return none{}, s.Inspect(ctx, func() { s.noteJoiner(r.Member) })
+	})
+}
+
+func (s *Store) member() shraft.Member {
+	return shraft.Member{ID: s.disk.meta.ID, Address: s.config.Address}
+}
+
+// isEmpty reports whether the node never stored a term, a vote or an entry. The
+// stored state is current in the owner goroutine.
+func (s *Store) isEmpty() bool {
+	return s.disk.meta.State == shraft.HardState{} && s.nodeStatus.Last == 0
+}
+
+// Limits of a sender.
+const (
+	// queuedMessages bounds what waits for a peer that does not take messages.
+	queuedMessages = 256
+	// maxSendBytes bounds the entries and snapshot parts of one notification.
+	maxSendBytes = 4 << 20
+	// sendTimeout is below the election timeout: later messages are of no use.
+	sendTimeout = 500 * time.Millisecond
+	// senderIdle is how long a sender without messages is kept.
+	senderIdle = time.Minute
+)
+
+// sender sends messages to one address from its own goroutine, so that a silent
+// peer holds up no other.
+type sender struct {
+	queue  chan shraft.Message
+	usedAt time.Time
+}
+
+// send queues a message, or drops it if the queue is full.
+func (s *Store) send(m shraft.Message) {
+	address := s.address(m.To)
+	if address == "" {
+		return
+	}
+	q := s.senders[address]
+	if q == nil {
+		q = &sender{queue: make(chan shraft.Message, queuedMessages)}
+		s.senders[address] = q
+		s.active.Add(1)
+		go s.run(address, q.queue)
+	}
+	q.usedAt = time.Now()
+	select {
+	case q.queue <- m:
+	default:
+	}
+}
+
+// dropIdleSenders ends the senders of addresses that are not used any more.
+func (s *Store) dropIdleSenders(now time.Time) {
+	for address, q := range s.senders {
+		if now.Sub(q.usedAt) > senderIdle {
+			delete(s.senders, address)
+			close(q.queue)
+		}
+	}
+}
+
+// run sends queued messages, those that wait in one notification.
+func (s *Store) run(address string, queue <-chan shraft.Message) {
+	defer s.active.Done()
+	for {
+		var first shraft.Message
+		var ok bool
+		select {
+		case first, ok = <-queue:
+		case <-s.ctx.Done():
+		}
+		if !ok {
+			return
+		}
+		batch := collect(first, queue)
+		ctx, cancel := context.WithTimeout(s.ctx, sendTimeout)
+		err := shpeer.Notify(ctx, s.config.Client, address, methodMessage, messages{Address: s.config.Address, Messages: batch})
+		cancel()
+		if err != nil {
+			s.config.Logger.Debug("raft messages not sent", "address", address, "messages", len(batch), "error", err)
+		}
+	}
+}
+
+// collect takes what is queued, up to maxSendBytes.
+func collect(first shraft.Message, queue <-chan shraft.Message) []shraft.Message {
+	batch := []shraft.Message{first}
+	size := messageBytes(first)
+	for size < maxSendBytes {
+		select {
+		case m, ok := <-queue:
+			if !ok {
+				return batch
+			}
+			batch = append(batch, m)
+			size += messageBytes(m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func messageBytes(m shraft.Message) int {
+	size := 0
+	switch b := m.Body.(type) {
+	case shraft.AppendRequest:
+		for _, e := range b.Entries {
+			size += len(e.Data)
+		}
+	case shraft.SnapshotRequest:
+		size = len(b.Data)
+	}
+	return size
+}
--- /dev/null
+++ b/transport/shstore/store_test.go
@@ -0,0 +1,284 @@
+package shstore_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/coordination/shraft"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shlog"
+	"sequoiahollow/transport/shpeer"
+	"sequoiahollow/transport/shstore"
+)
+
+// patience bounds waits of tests; it is reached only if something is broken.
+const patience = 20 * time.Second
+
+// list is a state machine that appends words and returns their count.
+type list struct{ words []string }
+
+func (l *list) Apply(_ uint64, _ time.Time, data []byte) []byte {
+	l.words = append(l.words, string(data))
+	return fmt.Append(nil, len(l.words))
+}
+
+func (l *list) Snapshot() ([]byte, error) { return []byte(strings.Join(l.words, " ")), nil }
+
+func (l *list) Restore(data []byte) error {
+	l.words = strings.Fields(string(data))
+	return nil
+}
+
+// vm is one VM of a test group. Its address stays the same over restarts.
+type vm struct {
+	t        *testing.T
+	config   shstore.Config
+	list     *list
+	listener net.Listener
+	server   *shpeer.Server
+	client   *shpeer.Client
+	store    *shstore.Store
+}
+
+func group(t *testing.T, count int) []*vm {
+	t.Helper()
+	var vms []*vm
+	var voters []shstore.Peer
+	for i := range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		v := &vm{t: t, listener: l}
+		v.config = shstore.Config{
+			VM: shmodel.VM(fmt.Sprintf("vm%d", i+1)), Address: l.Addr().String(),
+			Folder: filepath.Join(t.TempDir(), "raft"), Bootstrap: true,
+			Raft: shraft.Config{
+				Heartbeat: 50 * time.Millisecond, ElectionTimeout: 300 * time.Millisecond, Trailing: 8,
+			},
+			SnapshotEvery: 32, JoinInterval: 50 * time.Millisecond,
+		}
+		voters = append(voters, shstore.Peer{VM: v.config.VM, Address: v.config.Address})
+		vms = append(vms, v)
+	}
+	for _, v := range vms {
+		v.config.Voters = voters
+		v.start()
+		t.Cleanup(v.stop)
+	}
+	return vms
+}
+
+func (v *vm) start() {
+	v.t.Helper()
+	if v.listener == nil {
+		l, err := net.Listen("tcp", v.config.Address)
+		assert.NilError(v.t, err)
+		v.listener = l
+	}
+	v.list = &list{}
+	v.config.StateMachine = v.list
+	v.server = shpeer.NewServer(shpeer.Config{})
+	v.client = shpeer.NewClient(shpeer.Config{Self: v.config.Address})
+	v.config.Server, v.config.Client = v.server, v.client
+	store, err := shstore.Open(v.config)
+	assert.NilError(v.t, err)
+	v.store = store
+	go v.server.Serve(v.listener)
+	v.listener = nil
+}
+
+func (v *vm) stop() {
+	if v.store == nil {
+		return
+	}
+	assert.NilError(v.t, v.store.Close())
+	assert.NilError(v.t, v.client.Close())
+	assert.NilError(v.t, v.server.Close())
+	v.store = nil
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !f(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+// leader waits for a leader that is ready.
+func leader(t *testing.T, vms []*vm) *vm {
+	t.Helper()
+	var found *vm
+	eventually(t, "a leader", func() bool {
+		i := slices.IndexFunc(vms, func(v *vm) bool { return v.store != nil && v.store.Status().Ready })
+		if i >= 0 {
+			found = vms[i]
+		}
+		return i >= 0
+	})
+	return found
+}
+
+// propose proposes a word through whoever leads until it is accepted once.
+func propose(t *testing.T, vms []*vm, word string) {
+	t.Helper()
+	eventually(t, "proposal "+word, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_, err := leader(t, vms).store.Propose(ctx, []byte(word))
+		assert.Assert(t, err == nil || shstore.KindOf(err) != shstore.KindTimeout, "%v", err)
+		return err == nil
+	})
+}
+
+func words(t *testing.T, v *vm) []string {
+	t.Helper()
+	var found []string
+	assert.NilError(t, v.store.Inspect(t.Context(), func() { found = slices.Clone(v.list.words) }))
+	return found
+}
+
+func hasVoters(v *vm, count int) bool {
+	s := v.store.Status()
+	return len(s.Voters) == count && len(s.Learners) == 0
+}
+
+// Guards against proposals, reads, errors for other VMs and leadership transfer
+// that work only within one process.
+func TestGroup(t *testing.T) {
+	vms := group(t, 3)
+	propose(t, vms, "first")
+	l := leader(t, vms)
+	t.Run("read sees the proposal", func(t *testing.T) {
+		var found []string
+		assert.NilError(t, l.store.Read(t.Context(), func() { found = slices.Clone(l.list.words) }))
+		assert.Assert(t, slices.Contains(found, "first"))
+		assert.Assert(t, !l.store.Status().Confirmed.IsZero())
+	})
+	t.Run("followers name the leader and see its quorum", func(t *testing.T) {
+		for _, v := range vms {
+			if v == l {
+				continue
+			}
+			eventually(t, "confirmation", func() bool { return !v.store.Status().Confirmed.IsZero() })
+			_, err := v.store.Propose(t.Context(), []byte("refused"))
+			var e *shstore.Error
+			assert.Assert(t, errors.As(err, &e), "%v", err)
+			assert.Equal(t, e.Kind, shstore.KindNotLeader)
+			assert.DeepEqual(t, e.Leader, shstore.Peer{VM: l.config.VM, Address: l.config.Address})
+		}
+	})
+	t.Run("transfer moves leadership", func(t *testing.T) {
+		eventually(t, "transfer", func() bool {
+			return leader(t, vms).store.Transfer(t.Context()) == nil && l.store.Status().Role != shraft.Leader
+		})
+		propose(t, vms, "second")
+	})
+}
+
+// Guards against a VM that lost its disk and comes back under its former
+// identity or without data, and against a second loss right after the repair.
+func TestLostDisks(t *testing.T) {
+	vms := group(t, 3)
+	for i := range 60 {
+		propose(t, vms, fmt.Sprint("before", i))
+	}
+	for round := range 2 {
+		l := leader(t, vms)
+		lost := vms[slices.IndexFunc(vms, func(v *vm) bool { return v != l })]
+		former := lost.store.Status().ID
+		lost.stop()
+		assert.NilError(t, os.RemoveAll(lost.config.Folder))
+		propose(t, vms, fmt.Sprint("without", round))
+		lost.start()
+		assert.Assert(t, lost.store.Status().ID != former)
+		eventually(t, "repair", func() bool {
+			s := lost.store.Status()
+			return hasVoters(lost, 3) && slices.ContainsFunc(s.Voters, func(m shraft.Member) bool { return m.ID == s.ID })
+		})
+	}
+	propose(t, vms, "after")
+	want := words(t, leader(t, vms))
+	for _, v := range vms {
+		eventually(t, "same state", func() bool { return slices.Equal(words(t, v), want) })
+	}
+}
+
+// Guards against state that is lost or applied twice by a restart of all VMs.
+func TestRestart(t *testing.T) {
+	vms := group(t, 3)
+	for i := range 100 {
+		propose(t, vms, fmt.Sprint("word", i))
+	}
+	want := words(t, leader(t, vms))
+	for _, v := range vms {
+		v.stop()
+	}
+	for _, v := range vms {
+		v.start()
+	}
+	propose(t, vms, "last")
+	assert.DeepEqual(t, words(t, leader(t, vms)), append(want, "last"))
+}
+
+// failingFS fails syncs of files after fail is set.
+type failingFS struct {
+	shlog.OS
+	fail chan struct{}
+}
+
+type failingFile struct {
+	shlog.File
+	fail chan struct{}
+}
+
+func (f failingFS) Create(name string) (shlog.File, error) {
+	file, err := f.OS.Create(name)
+	return failingFile{file, f.fail}, err
+}
+
+func (f failingFS) Open(name string) (shlog.File, error) {
+	file, err := f.OS.Open(name)
+	return failingFile{file, f.fail}, err
+}
+
+func (f failingFile) Sync() error {
+	select {
+	case <-f.fail:
+		return errors.New("injected")
+	default:
+		return f.File.Sync()
+	}
+}
+
+// Guards against a store that goes on, or confirms a proposal, after a failed
+// sync.
+func TestFailedSync(t *testing.T) {
+	vms := group(t, 1)
+	v := vms[0]
+	propose(t, vms, "first")
+	v.stop()
+	fs := failingFS{fail: make(chan struct{})}
+	v.config.FS = fs
+	v.start()
+	leader(t, vms)
+	close(fs.fail)
+	_, err := v.store.Propose(t.Context(), []byte("lost"))
+	assert.Equal(t, shstore.KindOf(err), shstore.KindUnknown)
+	<-v.store.Done()
+	assert.Equal(t, shstore.KindOf(v.store.Err()), shstore.KindStorage)
+	_, err = v.store.Propose(t.Context(), []byte("refused"))
+	assert.Equal(t, shstore.KindOf(err), shstore.KindClosed)
+	assert.ErrorContains(t, v.store.Close(), "injected")
+	v.store = nil
+}
