--- a/state/shconfig/load.go
+++ b/state/shconfig/load.go
@@ -150,7 +150,8 @@
 	if v == nil {
 		return Config{}, &Error{Op: "parse configuration", Kind: Invalid, Err: found}
 	}
-	config, problems := build(v, append(found, shdocument.Check[Config](v, false)...))
+	config, problems := FromValue(v)
+	problems = append(found, problems...)
 	if len(problems) > 0 {
 		problems.Sort()
 		return config, &Error{Op: "parse configuration", Kind: Invalid, Err: problems}
@@ -158,6 +159,12 @@
 	return config, nil
 }
 
+// FromValue reads one whole document that may be part of another, such as the
+// body of a request. Paths are relative to v.
+func FromValue(v *shdocument.Value) (Config, Problems) {
+	return build(v, shdocument.Check[Config](v, false))
+}
+
 // build decodes a document and validates it as a whole. It returns the
 // problems already known and those it finds.
 func build(v *shdocument.Value, known Problems) (Config, Problems) {
