Add the operator HTTP interface and its client

An edit whose answer was lost is sent again with its edit ID, and an outcome that is not known is never reported as not run. An export that fails half-way breaks the connection, since a normal end would look complete.

--- /dev/null
+++ b/transport/shoperator/handlers.go
@@ -0,0 +1,279 @@
+package shoperator
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shdocument"
+)
+
+// mediaTypeJSON and mediaTypeLines are the media types of bodies.
+const (
+	mediaTypeJSON  = "application/json"
+	mediaTypeLines = "application/x-ndjson"
+)
+
+// maxEditIDBytes bounds an edit ID, which the replicated state keeps.
+const maxEditIDBytes = 128
+
+func answer(w http.ResponseWriter, body any, err error) error {
+	if err != nil {
+		return err
+	}
+	writeJSON(w, mediaTypeJSON, http.StatusOK, body)
+	return nil
+}
+
+// list makes an empty list of nil, which JSON would show as null.
+func list[S ~[]T, T any](l S) S {
+	if l == nil {
+		return S{}
+	}
+	return l
+}
+
+func (s *Server) config(w http.ResponseWriter, r *http.Request) error {
+	current, err := s.Backend.Config(r.Context())
+	return answer(w, current, err)
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) error {
+	body, err := readBody(w, r, MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	edit, err := decodeEdit(body)
+	if err != nil {
+		return err
+	}
+	result, err := s.Backend.Apply(r.Context(), edit)
+	if err != nil {
+		return err
+	}
+	if !result.Accepted {
+		return conflict(edit, result)
+	}
+	writeJSON(w, mediaTypeJSON, http.StatusOK, result)
+	return nil
+}
+
+// decodeEdit reads the body of an edit. The base revision must be given, since
+// 0 is the base of the first edit.
+func decodeEdit(body *shdocument.Value) (shcontrol.ApplyConfig, error) {
+	problems := shdocument.Check[shcontrol.ApplyConfig](body, false)
+	if len(problems) > 0 {
+		return shcontrol.ApplyConfig{}, invalid(KindMalformed, problems)
+	}
+	edit, err := shdocument.Decode[shcontrol.ApplyConfig](body)
+	if err != nil {
+		return edit, fail(KindMalformed, err)
+	}
+	if edit.EditID == "" || len(edit.EditID) > maxEditIDBytes {
+		problems.Add("/editId", "want 1 to %d bytes", maxEditIDBytes)
+	}
+	for _, key := range []string{"baseRevision", "config"} {
+		if body.Members[key] == nil {
+			problems.Add(shdocument.Join("", key), "missing")
+		}
+	}
+	if len(problems) > 0 {
+		return edit, invalid(KindMalformed, problems)
+	}
+	config, found := shconfig.FromValue(body.Members["config"])
+	if len(found) > 0 {
+		return edit, invalid(KindInvalid, found)
+	}
+	edit.Config = config
+	return edit, nil
+}
+
+// conflict describes an edit that was not accepted. Changes is what the edit
+// would change in the current configuration.
+func conflict(edit shcontrol.ApplyConfig, result shcontrol.ConfigResult) error {
+	changes, err := shconfig.Diff(result.Config, edit.Config)
+	if err != nil {
+		return err
+	}
+	p := newProblem(KindConflict, fmt.Sprintf("the edit is based on revision %d, the current one is %d",
+		edit.BaseRevision, result.Revision))
+	p.Current = &Current{Revision: result.Revision, Config: result.Config}
+	p.Changes = changes
+	return &Error{Kind: KindConflict, Err: errors.New(p.Detail), Problem: &p}
+}
+
+func invalid(kind Kind, problems shconfig.Problems) error {
+	problems.Sort()
+	p := newProblem(kind, fmt.Sprintf("the body has %d mistakes", len(problems)))
+	p.Problems = problems
+	return &Error{Kind: kind, Err: problems, Problem: &p}
+}
+
+func (s *Server) check(w http.ResponseWriter, r *http.Request) error {
+	body, err := readBody(w, r, MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	config, problems := shconfig.FromValue(body)
+	current, err := s.Backend.Config(r.Context())
+	if err != nil {
+		return err
+	}
+	result := CheckResult{Valid: len(problems) == 0, Problems: list(problems), Revision: current.Revision}
+	var changes []shconfig.Change
+	if result.Valid {
+		changes, err = shconfig.Diff(current.Config, config)
+	}
+	result.Changes = list(changes)
+	return answer(w, result, err)
+}
+
+func (s *Server) diff(w http.ResponseWriter, r *http.Request) error {
+	body, err := readBody(w, r, MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	config, problems := shconfig.FromValue(body)
+	if len(problems) > 0 {
+		return invalid(KindInvalid, problems)
+	}
+	current, err := s.Backend.Config(r.Context())
+	if err != nil {
+		return err
+	}
+	changes, err := shconfig.Diff(current.Config, config)
+	return answer(w, DiffResult{Revision: current.Revision, Changes: list(changes)}, err)
+}
+
+func (s *Server) history(w http.ResponseWriter, r *http.Request) error {
+	limit := DefaultHistory
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > MaxHistory {
+			return fail(KindMalformed, fmt.Errorf("limit must be 1 to %d, got %q", MaxHistory, text))
+		}
+		limit = n
+	}
+	edits, err := s.Backend.History(r.Context(), limit)
+	return answer(w, list(edits), err)
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) error {
+	status, err := s.Backend.Status(r.Context())
+	return answer(w, status, err)
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) error {
+	target, err := readTarget(w, r)
+	if err != nil {
+		return err
+	}
+	result, err := s.Backend.Drain(r.Context(), target)
+	return answer(w, result, err)
+}
+
+func (s *Server) undrain(w http.ResponseWriter, r *http.Request) error {
+	target, err := readTarget(w, r)
+	if err != nil {
+		return err
+	}
+	result, err := s.Backend.Undrain(r.Context(), target)
+	return answer(w, result, err)
+}
+
+func readTarget(w http.ResponseWriter, r *http.Request) (Target, error) {
+	body, err := readBody(w, r, MaxTargetBytes)
+	if err != nil {
+		return Target{}, err
+	}
+	if problems := shdocument.Check[Target](body, false); len(problems) > 0 {
+		return Target{}, invalid(KindMalformed, problems)
+	}
+	target, err := shdocument.Decode[Target](body)
+	if err != nil {
+		return target, fail(KindMalformed, err)
+	}
+	if (target.VM == "") == (target.Region == "") {
+		return target, fail(KindMalformed, errors.New("either vm or region must be set"))
+	}
+	return target, nil
+}
+
+func (s *Server) accountExport(w http.ResponseWriter, r *http.Request) error {
+	e := &exportWriter{w: w, controller: http.NewResponseController(w)}
+	err := s.Backend.AccountExport(r.Context(), e)
+	if err != nil && !e.started {
+		return err
+	}
+	if err != nil {
+		s.logger().Error("account export aborted", "error", err)
+		// Breaking the connection shows the client that the export is not
+		// whole; a normal end would look complete.
+		panic(http.ErrAbortHandler)
+	}
+	e.start()
+	return nil
+}
+
+// exportWriter sends the header with the first byte and renews the write
+// deadline, so that only a client that stops reading is cut off.
+type exportWriter struct {
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	started    bool
+}
+
+func (e *exportWriter) start() {
+	if e.started {
+		return
+	}
+	e.started = true
+	e.w.Header().Set("Content-Type", mediaTypeLines)
+	e.w.WriteHeader(http.StatusOK)
+}
+
+// Write implements io.Writer.
+func (e *exportWriter) Write(data []byte) (int, error) {
+	if len(data) == 0 {
+		return 0, nil
+	}
+	e.start()
+	_ = e.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return e.w.Write(data)
+}
+
+func (s *Server) accountVerify(w http.ResponseWriter, r *http.Request) error {
+	verification, err := s.Backend.AccountVerify(r.Context())
+	return answer(w, verification, err)
+}
+
+func (s *Server) burnReport(w http.ResponseWriter, r *http.Request) error {
+	report, err := s.Backend.BurnReport(r.Context())
+	return answer(w, report, err)
+}
+
+// readBody reads one JSON document of at most limit bytes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) (*shdocument.Value, error) {
+	mediaType, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || mediaType != mediaTypeJSON {
+		return nil, fail(KindMediaType, errors.New("the body must be "+mediaTypeJSON))
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return nil, fail(KindTooLarge, fmt.Errorf("the body is larger than %d bytes", limit))
+	}
+	if err != nil {
+		return nil, fail(KindMalformed, err)
+	}
+	v, problems := shdocument.Parse("", data)
+	if len(problems) > 0 {
+		return nil, invalid(KindMalformed, problems)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/transport/shoperator/serve_test.go
@@ -0,0 +1,29 @@
+package shoperator_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/transport/shoperator"
+)
+
+// TestServeStops guards against a stop that leaves the address in use or
+// reports a planned end as an error.
+func TestServeStops(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- (&shoperator.Server{Backend: &fake{}, Token: token}).Serve(ctx, l) }()
+	response := send(t, l.Addr().String(), "GET /healthz", nil, "")
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	stop()
+	assert.NilError(t, <-done)
+	again, err := net.Listen("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	assert.NilError(t, again.Close())
+}
--- /dev/null
+++ b/transport/shoperator/server_test.go
@@ -0,0 +1,362 @@
+package shoperator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shoperator"
+)
+
+const token = "0123456789abcdef"
+
+// fake is a Backend in memory. Its edits are compare-and-set on the revision.
+type fake struct {
+	mu      sync.Mutex
+	current shoperator.Current
+	results map[string]shcontrol.ConfigResult
+	edits   []shoperator.Edit
+	// loseAnswers is the number of edits that are applied without an answer.
+	loseAnswers int
+	// fail is the error of every other method.
+	fail error
+	// wait makes AccountVerify wait.
+	wait time.Duration
+	// export is written before fail is returned.
+	export string
+	target shoperator.Target
+}
+
+func (f *fake) Config(context.Context) (shoperator.Current, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current, f.fail
+}
+
+func (f *fake) Apply(_ context.Context, edit shcontrol.ApplyConfig) (shcontrol.ConfigResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fail != nil {
+		return shcontrol.ConfigResult{}, f.fail
+	}
+	result, known := f.results[edit.EditID]
+	if !known {
+		result = shcontrol.ConfigResult{Revision: f.current.Revision, Config: f.current.Config}
+	}
+	if !known && edit.BaseRevision == f.current.Revision {
+		f.current = shoperator.Current{Revision: edit.BaseRevision + 1, Config: edit.Config}
+		result = shcontrol.ConfigResult{Accepted: true, Revision: f.current.Revision, Config: edit.Config}
+		f.results[edit.EditID] = result
+		f.edits = append([]shoperator.Edit{{Revision: result.Revision, EditID: edit.EditID}}, f.edits...)
+	}
+	if f.loseAnswers > 0 {
+		f.loseAnswers--
+		return shcontrol.ConfigResult{}, errors.New("leader lost")
+	}
+	return result, nil
+}
+
+func (f *fake) History(_ context.Context, limit int) ([]shoperator.Edit, error) {
+	return f.edits[:min(limit, len(f.edits))], f.fail
+}
+
+func (f *fake) Status(context.Context) (shoperator.Status, error) {
+	return shoperator.Status{Revision: 7, Daemons: []shoperator.Daemon{{VM: "a", Revision: 7}, {VM: "b", Missing: true, AgeMS: -1}}}, f.fail
+}
+
+func (f *fake) Drain(_ context.Context, target shoperator.Target) (shcontrol.DrainResult, error) {
+	f.target = target
+	return shcontrol.DrainResult{Draining: true}, f.fail
+}
+
+func (f *fake) Undrain(_ context.Context, target shoperator.Target) (shcontrol.DrainResult, error) {
+	f.target = target
+	return shcontrol.DrainResult{}, f.fail
+}
+
+func (f *fake) AccountExport(_ context.Context, w io.Writer) error {
+	_, err := io.WriteString(w, f.export)
+	return errors.Join(err, f.fail)
+}
+
+func (f *fake) AccountVerify(ctx context.Context) (shoperator.Verification, error) {
+	select {
+	case <-ctx.Done():
+		return shoperator.Verification{}, ctx.Err()
+	case <-time.After(f.wait):
+		return shoperator.Verification{Complete: true, Requests: 3}, f.fail
+	}
+}
+
+func (f *fake) BurnReport(context.Context) (shoperator.BurnReport, error) {
+	return shoperator.BurnReport{Services: []shoperator.ServiceBurn{{Service: "s"}}}, f.fail
+}
+
+// start serves a fake and returns a client for it.
+func start(t *testing.T, f *fake) *shoperator.Client {
+	t.Helper()
+	f.results = map[string]shcontrol.ConfigResult{}
+	set := metrics.NewSet()
+	set.NewCounter("sample_total").Inc()
+	server := httptest.NewServer((&shoperator.Server{Backend: f, Token: token, Metrics: set}).Handler())
+	t.Cleanup(server.Close)
+	return &shoperator.Client{Address: server.Listener.Addr().String(), Token: token}
+}
+
+func config(limit int) shconfig.Config {
+	return shconfig.Config{
+		Objective: shconfig.Headroom,
+		Regions:   map[shmodel.Region]shconfig.Region{"r": {FailureDomains: []shmodel.FailureDomain{"f"}}},
+		Services:  map[shmodel.Service]shconfig.Service{"s": {Default: shmodel.OnceOnly, DefaultTimeoutMS: 1}},
+		Limits:    shconfig.Limits{CrashLimit: limit},
+	}
+}
+
+func edit(id string, base uint64, limit int) shcontrol.ApplyConfig {
+	return shcontrol.ApplyConfig{EditID: id, BaseRevision: base, Config: config(limit)}
+}
+
+func kindOf(t *testing.T, err error) shoperator.Kind {
+	t.Helper()
+	failure, ok := errors.AsType[*shoperator.Error](err)
+	assert.Assert(t, ok, "%v", err)
+	return failure.Kind
+}
+
+// TestApplyConflict guards against a lost edit when two operators start from
+// the same revision, and against a conflict that does not show the difference.
+func TestApplyConflict(t *testing.T) {
+	f := &fake{}
+	c := start(t, f)
+	first, err := c.Apply(t.Context(), edit("one", 0, 3))
+	assert.NilError(t, err)
+	assert.Equal(t, first.Revision, uint64(1))
+
+	_, err = c.Apply(t.Context(), edit("two", 0, 4))
+	assert.Equal(t, kindOf(t, err), shoperator.KindConflict)
+	failure, _ := errors.AsType[*shoperator.Error](err)
+	assert.Equal(t, failure.Problem.Status, http.StatusConflict)
+	assert.Equal(t, failure.Problem.Outcome, shmodel.NotRun)
+	assert.Equal(t, failure.Problem.Current.Revision, uint64(1))
+	assert.Equal(t, fmt.Sprintf("%s", failure.Problem.Changes), "[{/limits/crashLimit 3 4}]")
+
+	again, err := c.Apply(t.Context(), edit("one", 0, 3))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, first)
+	assert.Equal(t, f.current.Revision, uint64(1))
+}
+
+// TestApplyResend guards against an edit that is applied twice, or reported as
+// a conflict with itself, when the answer is lost.
+func TestApplyResend(t *testing.T) {
+	f := &fake{loseAnswers: 1}
+	result, err := start(t, f).Apply(t.Context(), edit("one", 0, 3))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Revision, uint64(1))
+	assert.Equal(t, len(f.edits), 1)
+}
+
+// TestApplyKinds guards against telling an operator that an edit was not made
+// when it may have been.
+func TestApplyKinds(t *testing.T) {
+	for name, c := range map[string]struct {
+		fail    error
+		kind    shoperator.Kind
+		outcome shmodel.Outcome
+	}{
+		"no quorum": {&shoperator.Error{Kind: shoperator.KindUnavailable, Err: errors.New("no quorum")}, shoperator.KindUnavailable, shmodel.NotRun},
+		"timeout":   {context.DeadlineExceeded, shoperator.KindUnknown, shmodel.Unknown},
+		"other":     {errors.New("disk"), shoperator.KindUnknown, shmodel.Unknown},
+		"not found": {&shoperator.Error{Kind: shoperator.KindNotFound, Err: errors.New("no VM")}, shoperator.KindNotFound, shmodel.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := start(t, &fake{fail: c.fail})
+			_, err := client.Drain(t.Context(), shoperator.Target{VM: "a"})
+			failure, _ := errors.AsType[*shoperator.Error](err)
+			assert.Equal(t, failure.Kind, c.kind)
+			assert.Equal(t, failure.Problem.Outcome, c.outcome)
+		})
+	}
+}
+
+// TestApplyNotConnected guards against an unknown outcome when nothing was
+// sent. The context ends the attempts before the first pause does.
+func TestApplyNotConnected(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	address := server.Listener.Addr().String()
+	server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := (&shoperator.Client{Address: address, Token: token}).Apply(ctx, edit("one", 0, 3))
+	assert.Equal(t, kindOf(t, err), shoperator.KindUnavailable)
+}
+
+// TestReadings guards against routes and types of client and server that
+// differ.
+func TestReadings(t *testing.T) {
+	f := &fake{export: "{\"requestId\":\"1\"}\n"}
+	c, ctx := start(t, f), t.Context()
+	_, err := c.Apply(ctx, edit("one", 0, 3))
+	assert.NilError(t, err)
+
+	current, err := c.Config(ctx)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, current.Config, config(3))
+	diff, err := c.Diff(ctx, config(5))
+	assert.NilError(t, err)
+	assert.Equal(t, len(diff.Changes), 1)
+	check, err := c.Check(ctx, shconfig.Config{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(check.Problems), 3)
+	history, err := c.History(ctx, 1)
+	assert.NilError(t, err)
+	assert.Equal(t, history[0].EditID, "one")
+	status, err := c.Status(ctx)
+	assert.NilError(t, err)
+	assert.Assert(t, status.Daemons[1].Missing)
+	drained, err := c.Drain(ctx, shoperator.Target{Region: "r"})
+	assert.NilError(t, err)
+	assert.Assert(t, drained.Draining)
+	assert.Equal(t, f.target.Region, shmodel.Region("r"))
+	_, err = c.Undrain(ctx, shoperator.Target{VM: "v"})
+	assert.NilError(t, err)
+	assert.Equal(t, f.target.VM, shmodel.VM("v"))
+	verification, err := c.AccountVerify(ctx)
+	assert.NilError(t, err)
+	assert.Assert(t, verification.Complete)
+	report, err := c.BurnReport(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(report.Services), 1)
+	var export strings.Builder
+	assert.NilError(t, c.AccountExport(ctx, &export))
+	assert.Equal(t, export.String(), f.export)
+}
+
+// TestExportBreaksOff guards against a partial export that looks complete.
+func TestExportBreaksOff(t *testing.T) {
+	failure := errors.New("disk")
+	// More than the buffers hold, so that the client sees the begin.
+	long := strings.Repeat("{}\n", 1<<18)
+	err := start(t, &fake{export: long, fail: failure}).AccountExport(t.Context(), io.Discard)
+	assert.ErrorContains(t, err, "broke off")
+	err = start(t, &fake{export: "", fail: failure}).AccountExport(t.Context(), io.Discard)
+	assert.Equal(t, kindOf(t, err), shoperator.KindInternal)
+}
+
+// TestRefusals guards against requests that get past the token, sizes, header
+// counts or strict documents.
+func TestRefusals(t *testing.T) {
+	f := &fake{}
+	address := start(t, f).Address
+	many := http.Header{}
+	for i := range shoperator.MaxHeaderFields {
+		many.Add(fmt.Sprintf("X-%d", i), "x")
+	}
+	text := http.Header{"Content-Type": {"text/plain"}}
+	bearer := func(s string) http.Header { return http.Header{"Authorization": {s}} }
+	for name, c := range map[string]struct {
+		request string
+		header  http.Header
+		body    string
+		want    int
+		reason  string
+	}{
+		"no token":        {"GET /v1/config", bearer(""), "", 401, "unauthorized"},
+		"wrong token":     {"GET /v1/config", bearer("Bearer 0123456789abcdeX"), "", 401, "unauthorized"},
+		"prefix of token": {"GET /v1/config", bearer("Bearer 0123456789"), "", 401, "unauthorized"},
+		"wrong scheme":    {"GET /v1/config", bearer("Basic " + token), "", 401, "unauthorized"},
+		"hidden path":     {"GET /v1/other", bearer(""), "", 401, "unauthorized"},
+		"path":            {"GET /v1/other", nil, "", 404, "not-found"},
+		"method":          {"DELETE /v1/config", nil, "", 405, "method"},
+		"header count":    {"GET /v1/config", many, "", 431, "headers"},
+		"media type":      {"POST /v1/config", text, "{}", 415, "media-type"},
+		"body size":       {"POST /v1/config", nil, strings.Repeat(" ", shoperator.MaxBodyBytes+1), 413, "too-large"},
+		"target size":     {"POST /v1/drain", nil, strings.Repeat(" ", shoperator.MaxTargetBytes+1), 413, "too-large"},
+		"syntax":          {"POST /v1/config", nil, "{", 400, "malformed"},
+		"duplicate key":   {"POST /v1/drain", nil, `{"vm":"a","vm":"b"}`, 400, "malformed"},
+		"two targets":     {"POST /v1/drain", nil, `{"vm":"a","region":"b"}`, 400, "malformed"},
+		"no target":       {"POST /v1/undrain", nil, `{}`, 400, "malformed"},
+		"no edit ID":      {"POST /v1/config", nil, `{"baseRevision":0,"config":{}}`, 400, "malformed"},
+		"no base":         {"POST /v1/config", nil, `{"editId":"e","config":{}}`, 400, "malformed"},
+		"unknown field":   {"POST /v1/config", nil, `{"editId":"e","baseRevision":0,"config":{"x":1}}`, 400, "malformed"},
+		"invalid":         {"POST /v1/config", nil, `{"editId":"e","baseRevision":0,"config":{}}`, 422, "invalid"},
+		"history limit":   {"GET /v1/config/history?limit=0", nil, "", 400, "malformed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			response := send(t, address, c.request, c.header, c.body)
+			assert.Equal(t, response.StatusCode, c.want)
+			assert.Equal(t, response.Header.Get("Content-Type"), "application/problem+json")
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.Contains(string(body), `"reason":"`+c.reason+`"`), "%s", body)
+		})
+	}
+	assert.Equal(t, f.current.Revision, uint64(0))
+}
+
+// send makes a request with the right token and media type unless header
+// replaces them.
+func send(t *testing.T, address, request string, header http.Header, body string) *http.Response {
+	t.Helper()
+	method, path, _ := strings.Cut(request, " ")
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("Content-Type", "application/json")
+	for key, values := range header {
+		r.Header[key] = values
+	}
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+// TestNoToken guards against a server that accepts an empty token because none
+// is set.
+func TestNoToken(t *testing.T) {
+	server := httptest.NewServer((&shoperator.Server{Backend: &fake{}}).Handler())
+	defer server.Close()
+	response := send(t, server.Listener.Addr().String(), "GET /v1/config", http.Header{"Authorization": {"Bearer "}}, "")
+	assert.Equal(t, response.StatusCode, http.StatusUnauthorized)
+}
+
+// TestPublicPaths guards against monitoring that needs the operators' token.
+func TestPublicPaths(t *testing.T) {
+	address := start(t, &fake{}).Address
+	none := http.Header{"Authorization": nil}
+	for path, want := range map[string]string{"/metrics": "sample_total 1", "/healthz": "ok"} {
+		response := send(t, address, "GET "+path, none, "")
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Assert(t, strings.Contains(string(body), want), "%s", body)
+	}
+}
+
+// TestLongRequest guards against a verification that the deadlines of the
+// connection cut off.
+func TestLongRequest(t *testing.T) {
+	f := &fake{wait: 1500 * time.Millisecond}
+	server := httptest.NewUnstartedServer((&shoperator.Server{Backend: f, Token: token}).Handler())
+	server.Config.ReadTimeout = time.Second
+	server.Config.WriteTimeout = time.Second
+	server.Start()
+	defer server.Close()
+	client := &shoperator.Client{Address: server.Listener.Addr().String(), Token: token}
+	_, err := client.AccountVerify(t.Context())
+	assert.NilError(t, err)
+}
