--- a/state/shconfig/config.go
+++ b/state/shconfig/config.go
@@ -5,6 +5,9 @@
 // order of their names: objects merge key by key, any other value replaces the
 // earlier one, and null removes it. The merged document is checked as a whole.
 // An accepted document gets a revision from the replicated state.
+//
+// Load reads a folder and Parse one document. Diff, Delta and ApplyDelta
+// compare configurations. Compile makes the form that traffic goroutines use.
 package shconfig
 
 import "sequoiahollow/state/shmodel"
@@ -46,7 +49,8 @@
 }
 
 // Service is one service. Operations are matched in order; the first match
-// decides, and Default applies when none matches.
+// decides, and Default applies when none matches. Timeouts are in
+// milliseconds; MaxBodyBytes 0 selects DefaultMaxBodyBytes.
 type Service struct {
 	Hosts            []string              `json:"hosts,omitempty"`
 	Default          shmodel.OperationKind `json:"default"`
@@ -54,6 +58,16 @@
 	DefaultTimeoutMS int64                 `json:"defaultTimeoutMs"`
 	MaxBodyBytes     int64                 `json:"maxBodyBytes,omitempty"`
 	ServiceLevel     ServiceLevel          `json:"serviceLevel,omitzero"`
+	Size             Size                  `json:"size,omitzero"`
+}
+
+// Size is the planned size of a service over all regions. It tells operators
+// what to expect; steering uses only what backend servers announce. Slots and
+// Connections are per backend server.
+type Size struct {
+	BackendServers int `json:"backendServers"`
+	Slots          int `json:"slots"`
+	Connections    int `json:"connections"`
 }
 
 // Operation matches requests by method and by path. Path is a net/http mux
--- a/state/shconfig/load_test.go
+++ b/state/shconfig/load_test.go
@@ -126,7 +126,7 @@
 			[]string{"90.json:1: /links/north-south/controlBitsPerSecond: must be less than the cap of 1000, got 1000"},
 		},
 		"service": {
-			`{"services": {"s": {"hosts": ["ledger.example", "A:80"], "maxBodyBytes": -1, "serviceLevel": {"goodShare": 1.2}}}}`,
+			`{"services": {"s": {"hosts": ["ledger.example", "A:80"], "maxBodyBytes": -1, "serviceLevel": {"goodShare": 1.2}, "size": {"slots": 3}}}}`,
 			[]string{
 				`90.json:1: /services/s/default: missing; want "idempotent" or "once-only"`,
 				`90.json:1: /services/s/defaultTimeoutMs: want 1 to 3600000, got 0`,
@@ -136,6 +136,8 @@
 				`90.json:1: /services/s/maxBodyBytes: want 0 to 67108864, got -1`,
 				`90.json:1: /services/s/serviceLevel/goodShare: want 0 to 1, got 1.2`,
 				`90.json:1: /services/s/serviceLevel/latencyMs: want 1 to 3600000, got 0`,
+				`90.json:1: /services/s/size/backendServers: want 1 to 1000000, got 0`,
+				`90.json:1: /services/s/size/connections: want 1 to 1000000, got 0`,
 			},
 		},
 		"no services": {`{"services": null}`, []string{"folder: /services: at least one service is needed"}},
--- a/state/shconfig/validate.go
+++ b/state/shconfig/validate.go
@@ -18,6 +18,9 @@
 // services, as for a label of a host name.
 const MaxNameBytes = 63
 
+// maxSize bounds each number of a Size.
+const maxSize = 1_000_000
+
 var (
 	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?$`)
 	methodPattern = regexp.MustCompile(`^[A-Z]+$`)
@@ -175,6 +178,7 @@
 		v.integer(path+"/defaultTimeoutMs", service.DefaultTimeoutMS, 1, MaxTimeout.Milliseconds())
 		v.integer(path+"/maxBodyBytes", service.MaxBodyBytes, 0, MaxBodyBytesLimit)
 		v.serviceLevel(path+"/serviceLevel", service.ServiceLevel)
+		v.size(path+"/size", service.Size)
 	}
 }
 
@@ -269,6 +273,15 @@
 	v.integer(path+"/latencyMs", level.LatencyMS, 1, MaxTimeout.Milliseconds())
 }
 
+func (v *validator) size(path string, size Size) {
+	if size == (Size{}) {
+		return
+	}
+	v.integer(path+"/backendServers", int64(size.BackendServers), 1, maxSize)
+	v.integer(path+"/slots", int64(size.Slots), 1, maxSize)
+	v.integer(path+"/connections", int64(size.Connections), 1, maxSize)
+}
+
 func (v *validator) limits() {
 	l := v.config.Limits
 	v.integer("/limits/lookupCacheMs", l.LookupCacheMS, 0, MaxLookupCache.Milliseconds())
