--- a/transport/shoperator/client.go
+++ b/transport/shoperator/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,12 +22,12 @@
 // limit with large differences is the largest.
 const maxAnswerBytes = 64 << 20
 
-// applyAttempts and applyPause are how often and after which pause Apply sends
-// an edit whose result is not known.
-const (
-	applyAttempts = 4
-	applyPause    = time.Second
-)
+// applyAttempts is how often Apply sends an edit whose result is not known.
+const applyAttempts = 4
+
+// DefaultRetryPause is the pause between the attempts of Apply. A leader is
+// elected in about one second.
+const DefaultRetryPause = time.Second
 
 // Client calls a Server. Errors are *Error. Address is IP:port.
 type Client struct {
@@ -34,6 +35,9 @@
 	Token   string
 	// HTTP is the client to use; nil uses one without a proxy.
 	HTTP *http.Client
+	// RetryPause is the pause between attempts of Apply; 0 selects
+	// DefaultRetryPause.
+	RetryPause time.Duration
 }
 
 // defaultHTTP ignores proxy variables: an operator address is an IP address
@@ -52,7 +56,7 @@
 // the same edit ID until it is known, ctx ends or four attempts were made. An
 // edit that is not accepted has an error of KindConflict with a Problem.
 func (c *Client) Apply(ctx context.Context, edit shcontrol.ApplyConfig) (shcontrol.ConfigResult, error) {
-	unknown := false
+	unknown, wait := false, cmp.Or(c.RetryPause, DefaultRetryPause)
 	for attempt := 1; ; attempt++ {
 		result, err := call[shcontrol.ConfigResult](ctx, c, "POST", "/v1/config", edit)
 		failure, failed := errors.AsType[*Error](err)
@@ -61,7 +65,7 @@
 		}
 		unknown = unknown || failure.Kind == KindUnknown || failure.Kind == KindInternal
 		again := failure.Kind == KindUnknown || failure.Kind == KindInternal || failure.Kind == KindUnavailable
-		if !again || attempt == applyAttempts || !pause(ctx, applyPause) {
+		if !again || attempt == applyAttempts || !pause(ctx, wait) {
 			return result, settled(failure, unknown)
 		}
 	}
--- a/transport/shoperator/server_test.go
+++ b/transport/shoperator/server_test.go
@@ -31,7 +31,9 @@
 	edits   []shoperator.Edit
 	// loseAnswers is the number of edits that are applied without an answer.
 	loseAnswers int
-	// fail is the error of every other method.
+	// unavailableAfter becomes fail with the first lost answer.
+	unavailableAfter error
+	// fail is the error of every method.
 	fail error
 	// wait makes AccountVerify wait.
 	wait time.Duration
@@ -64,6 +66,7 @@
 	}
 	if f.loseAnswers > 0 {
 		f.loseAnswers--
+		f.fail = f.unavailableAfter
 		return shcontrol.ConfigResult{}, errors.New("leader lost")
 	}
 	return result, nil
@@ -113,7 +116,7 @@
 	set.NewCounter("sample_total").Inc()
 	server := httptest.NewServer((&shoperator.Server{Backend: f, Token: token, Metrics: set}).Handler())
 	t.Cleanup(server.Close)
-	return &shoperator.Client{Address: server.Listener.Addr().String(), Token: token}
+	return &shoperator.Client{Address: server.Listener.Addr().String(), Token: token, RetryPause: time.Millisecond}
 }
 
 func config(limit int) shconfig.Config {
@@ -169,9 +172,19 @@
 	assert.Equal(t, len(f.edits), 1)
 }
 
-// TestApplyKinds guards against telling an operator that an edit was not made
+// TestApplyUncertain guards against "not run" when only the last attempt
+// certainly was not: an earlier one may have been accepted.
+func TestApplyUncertain(t *testing.T) {
+	f := &fake{loseAnswers: 1}
+	f.unavailableAfter = &shoperator.Error{Kind: shoperator.KindUnavailable, Err: errors.New("no quorum")}
+	_, err := start(t, f).Apply(t.Context(), edit("one", 0, 3))
+	assert.Equal(t, kindOf(t, err), shoperator.KindUnknown)
+	assert.Equal(t, f.current.Revision, uint64(1))
+}
+
+// TestChangeKinds guards against telling an operator that a change was not made
 // when it may have been.
-func TestApplyKinds(t *testing.T) {
+func TestChangeKinds(t *testing.T) {
 	for name, c := range map[string]struct {
 		fail    error
 		kind    shoperator.Kind
@@ -193,14 +206,13 @@
 }
 
 // TestApplyNotConnected guards against an unknown outcome when nothing was
-// sent. The context ends the attempts before the first pause does.
+// sent.
 func TestApplyNotConnected(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	address := server.Listener.Addr().String()
 	server.Close()
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-	defer cancel()
-	_, err := (&shoperator.Client{Address: address, Token: token}).Apply(ctx, edit("one", 0, 3))
+	client := &shoperator.Client{Address: address, Token: token, RetryPause: time.Millisecond}
+	_, err := client.Apply(t.Context(), edit("one", 0, 3))
 	assert.Equal(t, kindOf(t, err), shoperator.KindUnavailable)
 }
 
