Add the operator and caller commands

The exit codes tell a change that certainly was not made from one that may have been, so that scripts can repeat only the former without care.

--- /dev/null
+++ b/cmd/sequoiahollow/account.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"sequoiahollow/transport/shoperator"
+)
+
+// slowFlags are operatorFlags with the longer default timeout.
+type slowFlags struct {
+	operatorFlags
+}
+
+// AfterApply is the hook of kong that runs when the flags are set.
+func (f *slowFlags) AfterApply() error {
+	if f.Timeout == 0 {
+		f.Timeout = defaultSlowTimeout
+	}
+	return nil
+}
+
+// exportCommand prints the account. The output is JSON lines with or without
+// --json.
+type exportCommand struct {
+	slowFlags
+}
+
+// Run implements the command.
+func (c *exportCommand) Run(e *environment) error {
+	client, ctx, cancel, err := c.client(e)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	if err := client.AccountExport(ctx, e.out); err != nil {
+		return operatorError(err, false)
+	}
+	return nil
+}
+
+// verifyCommand checks the account. An account that is not complete is a
+// failure.
+type verifyCommand struct {
+	slowFlags
+}
+
+// Run implements the command.
+func (c *verifyCommand) Run(e *environment) error {
+	var incomplete bool
+	err := query(e, &c.operatorFlags, func(ctx context.Context, client *shoperator.Client) (shoperator.Verification, error) {
+		v, err := client.AccountVerify(ctx)
+		incomplete = !v.Complete
+		return v, err
+	}, e.printVerification)
+	if err == nil && incomplete {
+		return &exitError{code: exitFailure, err: errors.New("the account is not complete"), printed: true}
+	}
+	return err
+}
+
+func (e *environment) printVerification(v shoperator.Verification) {
+	e.printf("requests %d: answered %d, not run %d, unknown %d\n", v.Requests, v.Answered, v.NotRun, v.Unknown)
+	for _, gap := range v.Missing {
+		e.printf("missing: %v to %v of %s %s\n", gap.First, gap.Last, gap.VM, gap.Reason)
+	}
+	for _, problem := range v.Problems {
+		e.printf("problem: %s\n", problem)
+	}
+	if v.Complete {
+		e.printf("complete: nothing is missing or counted twice\n")
+		return
+	}
+	e.printf("not complete\n")
+}
+
+// burnCommand prints the burn report.
+type burnCommand struct {
+	slowFlags
+}
+
+// Run implements the command.
+func (c *burnCommand) Run(e *environment) error {
+	return query(e, &c.operatorFlags, func(ctx context.Context, client *shoperator.Client) (shoperator.BurnReport, error) {
+		return client.BurnReport(ctx)
+	}, e.printBurn)
+}
+
+func (e *environment) printBurn(r shoperator.BurnReport) {
+	e.printf("at %s\n", r.At.UTC().Format(time.RFC3339))
+	for _, s := range r.Services {
+		e.printf("%s: %.3f%% within %d ms, %.1f%% of the error budget left\n",
+			s.Service, 100*s.Level.GoodShare, s.Level.LatencyMS, 100*s.BudgetLeft)
+		for _, window := range s.Windows {
+			e.printf("  %-8v good %d of %d, burn rate %.2f\n",
+				time.Duration(window.Seconds)*time.Second, window.Good, window.Total, window.BurnRate)
+		}
+	}
+}
--- a/cmd/sequoiahollow/config.go
+++ b/cmd/sequoiahollow/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"sequoiahollow/state/shconfig"
 )
@@ -26,7 +27,12 @@
 	if err != nil && !faulty {
 		return &exitError{code: exitUsage, err: err}
 	}
-	report := checkReport{Valid: !faulty, Files: folder.Files, Problems: problems, Notices: folder.Notices}
+	report := checkReport{
+		Valid:    !faulty,
+		Files:    slices.Concat([]string{}, folder.Files),
+		Problems: append(shconfig.Problems{}, problems...),
+		Notices:  slices.Concat([]string{}, folder.Notices),
+	}
 	printed := e.print(report, func() {
 		for _, problem := range problems {
 			e.printf("%s\n", problem)
@@ -35,11 +41,12 @@
 			e.printf("notice: %s\n", notice)
 		}
 		if faulty {
-			e.printf("%d mistakes in %d files\n", len(problems), len(folder.Files))
+			e.printf("invalid: %s in %s\n", count(len(problems), "mistake"), count(len(folder.Files), "file"))
 			return
 		}
-		e.printf("valid: %d files, %d regions, %d links, %d services\n", len(folder.Files),
-			len(folder.Config.Regions), len(folder.Config.Links), len(folder.Config.Services))
+		e.printf("valid: %s, %s, %s, %s\n", count(len(folder.Files), "file"),
+			count(len(folder.Config.Regions), "region"), count(len(folder.Config.Links), "link"),
+			count(len(folder.Config.Services), "service"))
 	})
 	if faulty {
 		return &exitError{code: exitUsage, err: err, printed: true}
--- a/cmd/sequoiahollow/exit.go
+++ b/cmd/sequoiahollow/exit.go
@@ -16,6 +16,13 @@
 	// exitUsage says that the command line, a file or a configuration is not
 	// valid. Nothing was changed.
 	exitUsage = 2
+	// exitConflict says that an edit had an old base revision. Nothing was
+	// changed.
+	exitConflict = 3
+	// exitNotRun says that the request or change certainly did not run.
+	exitNotRun = 4
+	// exitUnknown says that the request or change may have run.
+	exitUnknown = 5
 )
 
 // exitError is an error with an exit code. A command that has printed the
@@ -80,3 +87,11 @@
 func (e *environment) printf(format string, args ...any) {
 	fmt.Fprintf(e.out, format, args...)
 }
+
+// count returns a number with its noun.
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
--- a/cmd/sequoiahollow/main.go
+++ b/cmd/sequoiahollow/main.go
@@ -22,8 +22,24 @@
 
 	Serve  serveCommand `cmd:"" help:"Run the roles of a settings file until a signal, then stop gracefully."`
 	Config struct {
-		Check checkCommand `cmd:"" help:"Check a configuration folder offline and name every mistake."`
+		Check   checkCommand   `cmd:"" help:"Check a configuration folder offline and name every mistake."`
+		Diff    diffCommand    `cmd:"" help:"Show what a folder would change in the current configuration."`
+		Apply   applyCommand   `cmd:"" help:"Make a folder the configuration of the deployment."`
+		Show    showCommand    `cmd:"" help:"Print the current configuration."`
+		History historyCommand `cmd:"" help:"List accepted edits, newest first."`
+		Status  statusCommand  `cmd:"" help:"List the daemons and the revision in force on each."`
 	} `cmd:"" help:"Check, compare and change the configuration."`
+	Drain   drainCommand   `cmd:"" help:"Take a VM or region out of service."`
+	Undrain undrainCommand `cmd:"" help:"Bring a VM or region back into service."`
+	Account struct {
+		Export exportCommand `cmd:"" help:"Print the account, one record a line."`
+		Verify verifyCommand `cmd:"" help:"Check that no record is missing or counted twice."`
+	} `cmd:"" help:"Read the account of requests."`
+	Report struct {
+		Burn burnCommand `cmd:"" help:"Compare the services with their service levels."`
+	} `cmd:"" help:"Print reports."`
+	Request requestCommand `cmd:"" help:"Send one request as a caller."`
+	Lookup  lookupCommand  `cmd:"" help:"Ask an entry VM which entry VMs to use for a service."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/cmd/sequoiahollow/request_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+)
+
+// entryVM answers lookups with a closed address and twice its own, and requests
+// with serve. It returns its address.
+func entryVM(t *testing.T, serve http.HandlerFunc) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	address := server.Listener.Addr().String()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	mux.HandleFunc("GET "+shwire.PathEntries, func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewEncoder(w).Encode(shwire.Entries{
+			Service: shmodel.Service(r.FormValue("service")), Revision: 3, CacheForMS: 5000,
+			Entries: []shwire.EntryAddress{{VM: "gone", Address: closed.Addr().String()}, {VM: "here", Address: address}, {VM: "next", Address: address}},
+		})
+	})
+	mux.HandleFunc("/", serve)
+	return address
+}
+
+// TestRequestOutcomes guards against an exit code that tells a caller that a
+// request did not run when it may have.
+func TestRequestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome string
+		status  int
+		length  string
+		want    int
+	}{
+		"answered":         {"answered", 200, "", exitOK},
+		"answered, error":  {"answered", 500, "", exitFailure},
+		"not run":          {"not-run", 503, "", exitNotRun},
+		"unknown":          {"unknown", 504, "", exitUnknown},
+		"no outcome":       {"", 200, "", exitUnknown},
+		"strange outcome":  {"perhaps", 200, "", exitUnknown},
+		"answer broke off": {"answered", 200, "1000", exitUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := entryVM(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(shwire.HeaderOutcome, c.outcome)
+				if c.length != "" {
+					w.Header().Set("Content-Length", c.length)
+				}
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, "body")
+			})
+			code, _, stderr := execute(t, "request", "--entry", address, "--service", "s")
+			assert.Equal(t, code, c.want, stderr)
+		})
+	}
+}
+
+// TestRequestConnectionBreaks guards against a second run: after a broken
+// connection the request must not go to another entry VM.
+func TestRequestConnectionBreaks(t *testing.T) {
+	var calls atomic.Int32
+	address := entryVM(t, func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	code, _, _ := execute(t, "request", "--entry", address, "--service", "s")
+	assert.Equal(t, code, exitUnknown)
+	assert.Equal(t, calls.Load(), int32(1))
+}
+
+// TestRequestContent guards against headers or bodies that do not arrive.
+func TestRequestContent(t *testing.T) {
+	address := entryVM(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set(shwire.HeaderOutcome, "answered")
+		w.Header().Set(shwire.HeaderRequestID, "00000000000000aa")
+		fmt.Fprint(w, r.Method, " ", r.URL, " ", r.Header.Get(shwire.HeaderService), " ", r.Header.Get(shwire.HeaderKey),
+			" ", r.Header.Get(shwire.HeaderTimeout), " ", string(body))
+	})
+	t.Setenv("SEQUOIAHOLLOW_ENTRY", address)
+	code, out, stderr := execute(t, "request", "--service", "s", "--method", "POST", "--path", "/orders?x=1",
+		"--key", "k", "--body", "@-", "--timeout", "3s")
+	assert.Equal(t, code, exitOK)
+	assert.Equal(t, out, "POST /orders?x=1 s k 3000 from stdin")
+	contains(t, stderr, "answered: status 200, request 00000000000000aa, entry "+address)
+
+	code, out, _ = execute(t, "request", "--service", "s", "--json")
+	assert.Equal(t, code, exitOK)
+	contains(t, out, `"outcome": "answered"`)
+}
+
+// TestLookup guards against a lookup that hides the order of the entry VMs.
+func TestLookup(t *testing.T) {
+	address := entryVM(t, http.NotFound)
+	code, out, _ := execute(t, "lookup", "--entry", address, "--service", "s")
+	assert.Equal(t, code, exitOK)
+	contains(t, out, "service s, revision 3, cache for 5s\ngone ")
+	code, _, _ = execute(t, "lookup", "--entry", "127.0.0.1:1", "--service", "s")
+	assert.Equal(t, code, exitFailure)
+}
