--- a/cmd/sequoiahollow/apply.go
+++ b/cmd/sequoiahollow/apply.go
@@ -102,13 +102,14 @@
 func (e *environment) applied(edit shcontrol.ApplyConfig, before shoperator.Current, result shcontrol.ConfigResult) error {
 	report := applyReport{
 		Accepted: true, EditID: edit.EditID, BaseRevision: edit.BaseRevision, Revision: result.Revision,
+		Changes: []shconfig.Change{},
 	}
 	if before.Revision == edit.BaseRevision {
 		changes, err := shconfig.Diff(before.Config, edit.Config)
 		if err != nil {
 			return err
 		}
-		report.Changes = changes
+		report.Changes = append(report.Changes, changes...)
 	}
 	return e.print(report, func() {
 		e.printf("accepted: revision %d\n", result.Revision)
