Tell when a broken connection was no crash

A retry of an idempotent request must wait for the verdict, or a request that crashes backend servers takes the next one along before it has a strike.

--- a/coordination/shslot/backend.go
+++ b/coordination/shslot/backend.go
@@ -112,30 +112,34 @@
 	return ""
 }
 
-// hear takes over an accepted announcement of the same incarnation.
-func (b *backend) hear(now time.Time, a Announced) {
+// hear takes over an accepted announcement of the same incarnation. It returns
+// whether the announcement proves that a break was no crash: it was written
+// after the break.
+func (b *backend) hear(now time.Time, a Announced) bool {
 	b.heardAt = now
 	b.ramp(now)
 	b.leaving = b.leaving || a.Leaving
 	i := slices.IndexFunc(b.issued, func(n issuedNonce) bool { return n.nonce == a.Nonce })
 	if i < 0 {
 		b.unblock()
-		return
+		return false
 	}
 	sentAt := b.issued[i].at
 	if sentAt.Before(b.echoedAt) {
-		return
+		return false
 	}
 	b.echoedAt = sentAt
 	b.slots = min(b.slots, a.Slots)
 	b.load = plausibleLoad(a.Load)
 	b.unblock()
-	if b.broken != nil && sentAt.After(b.broken.at) {
+	cleared := b.broken != nil && sentAt.After(b.broken.at)
+	if cleared {
 		b.broken = nil
 	}
 	fresh := !b.leased(now)
 	b.leaseUntil = later(b.leaseUntil, sentAt.Add(LeaseDuration))
 	b.count(now, a.InFlight, sentAt, fresh)
+	return cleared
 }
 
 // unblock permits new work again after a broken connection.
--- a/coordination/shslot/event.go
+++ b/coordination/shslot/event.go
@@ -90,6 +90,10 @@
 	Solo          bool
 }
 
+// BreakCleared says that a backend server is alive after a connection to it
+// broke. Each break ends with BreakCleared or CrashSuspected.
+type BreakCleared struct{ BackendServer shmodel.BackendServer }
+
 // SoloReady says that the backend server marked for RequestID is idle; the
 // next solo Reserve for RequestID succeeds.
 type SoloReady struct{ RequestID shmodel.RequestID }
@@ -100,6 +104,7 @@
 func (AnswerAnnouncement) effect() {}
 func (CreditGranted) effect()      {}
 func (CrashSuspected) effect()     {}
+func (BreakCleared) effect()       {}
 func (SoloReady) effect()          {}
 func (HandoverDone) effect()       {}
 
--- a/coordination/shslot/table.go
+++ b/coordination/shslot/table.go
@@ -250,7 +250,9 @@
 	if t.stopping && b.releasedBy(now) {
 		return append(out, t.release(a.BackendServer))
 	}
-	b.hear(now, a)
+	if b.hear(now, a) {
+		out = append(out, BreakCleared{BackendServer: a.BackendServer})
+	}
 	t.nonces++
 	nonce := t.salt + "-" + strconv.FormatUint(t.nonces, 10)
 	b.issue(nonce, now)
--- a/coordination/shslot/table_test.go
+++ b/coordination/shslot/table_test.go
@@ -290,7 +290,8 @@
 		a.Nonce = answerTo(t, table, at(900*ms), a).Nonce
 		_, ok := reserve(table, at(900*ms))
 		assert.Assert(t, ok, "no work after an announcement without requests in flight")
-		a.Nonce = answerTo(t, table, at(1300*ms), a).Nonce
+		effects := table.Apply(at(1300*ms), a)
+		assert.Equal(t, effects[0], BreakCleared{BackendServer: "b1"})
 		assert.Equal(t, len(ticks(table, 1400*ms, 9000*ms)), 0)
 	})
 	t.Run("announcement sent before the crash", func(t *testing.T) {
