Send a copy in the region even while a distant sync is in progress

After a failed copy the sync in a distant region counted as the copy, and the submitter waited for that region. Adds tables and seeded histories for the machine.

--- a/coordination/shreplication/machine.go
+++ b/coordination/shreplication/machine.go
@@ -395,13 +395,14 @@
 }
 
 // placeCopy sends the copy that a submitter waits for. It reports whether it
-// is on its way.
+// is on its way. A sync in progress does not replace it: the sync may be that
+// of a distant region.
 func (m *Machine) placeCopy(now time.Time, b *batch) bool {
 	if b.settled || b.level != Copied {
 		return true
 	}
 	for _, h := range b.holders {
-		if h.domain != m.config.Place && h.state >= copying {
+		if h.domain != m.config.Place && h.state == copying {
 			return true
 		}
 	}
--- /dev/null
+++ b/coordination/shreplication/machine_test.go
@@ -0,0 +1,287 @@
+package shreplication
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/state/shmodel"
+)
+
+const seeds = 200
+
+var (
+	start = time.Unix(1_700_000_000, 0)
+	self  = Config{Self: "self", Place: shmodel.Place{Region: "r1", FailureDomain: "a"}, InFlight: 4}
+)
+
+func vm(name shmodel.VM, region shmodel.Region, domain shmodel.FailureDomain, disk bool, distance time.Duration) Target {
+	return Target{VM: name, Place: shmodel.Place{Region: region, FailureDomain: domain}, Disk: disk, Healthy: true, Distance: distance}
+}
+
+var targets = []Target{
+	vm("self", "r1", "a", true, 0),
+	vm("same-domain", "r1", "a", true, time.Microsecond),
+	vm("far", "r3", "a", true, 35*time.Millisecond),
+	vm("near", "r2", "a", true, 12*time.Millisecond),
+	vm("neighbour", "r1", "b", true, time.Millisecond),
+	vm("neighbour-no-disk", "r1", "b", false, 2*time.Millisecond),
+}
+
+func texts(effects []Effect) []string {
+	var all []string
+	for _, e := range effects {
+		if a, ok := e.(Append); ok {
+			a.Timeout = 0
+			e = a
+		}
+		all = append(all, fmt.Sprintf("%T%v", e, e)[len("shreplication."):])
+	}
+	return all
+}
+
+// Guards against a choice of targets that keeps both copies in one failure
+// domain, crosses regions without need, or stops at the first fault.
+func TestMachineChoosesTargets(t *testing.T) {
+	steps := func(events ...Event) []string {
+		m := New(self)
+		m.Handle(start, TargetsChanged{Targets: targets})
+		var effects []Effect
+		for _, e := range events {
+			effects = m.Handle(start, e)
+		}
+		return texts(effects)
+	}
+	without := slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return t.Place.Region != "r1" })
+	diskless := slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return t.VM == "neighbour" })
+	tests := []struct {
+		name   string
+		events []Event
+		want   []string
+	}{
+		{"copied", []Event{Submitted{1, Copied}}, []string{"Append{1 neighbour false false 0s}", "Append{1 near true false 0s}"}},
+		{"durable", []Event{Submitted{1, Durable}}, []string{"Append{1 neighbour true false 0s}", "Append{1 near true false 0s}"}},
+		{"deferred", []Event{Submitted{1, Deferred}}, []string{"Reached{1}", "Append{1 neighbour true false 0s}", "Append{1 near true false 0s}"}},
+		{"copy arrives", []Event{Submitted{1, Copied}, Appended{1, "neighbour", false}}, []string{"Reached{1}", "Append{1 neighbour true true 0s}"}},
+		{"copy fails", []Event{Submitted{1, Copied}, AppendFailed{1, "neighbour", TargetFailed}}, []string{"Append{1 neighbour-no-disk false false 0s}", "Append{1 far true false 0s}"}},
+		{"sync fails", []Event{Submitted{1, Durable}, AppendFailed{1, "near", TargetFailed}}, []string{"Append{1 far true false 0s}"}},
+		{"both synced", []Event{Submitted{1, Durable}, Appended{1, "near", true}, Appended{1, "neighbour", true}}, []string{"Reached{1}", "Released{1 [neighbour near]}"}},
+		{"target gone", []Event{Submitted{1, Durable}, Appended{1, "near", true}, TargetsChanged{targets[:3]}}, []string{"Append{1 far true false 0s}", "Append{1 same-domain true false 0s}"}},
+		{"one region", []Event{TargetsChanged{without}, Submitted{1, Durable}}, []string{"Append{1 neighbour true false 0s}", "Append{1 same-domain true false 0s}"}},
+		{"copy without disk", []Event{TargetsChanged{diskless}, Submitted{1, Copied}}, []string{"Append{1 neighbour-no-disk false false 0s}", "Append{1 near true false 0s}", "Append{1 far true false 0s}"}},
+		{"no targets", []Event{TargetsChanged{}, Submitted{1, Copied}}, nil},
+		{"same domain is no copy", []Event{TargetsChanged{targets[:2]}, Submitted{1, Copied}}, []string{"Append{1 same-domain true false 0s}"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { assert.DeepEqual(t, steps(test.events...), test.want) })
+	}
+}
+
+// Guards against a submitter that waits for ever and a batch that is dropped
+// when it gives up.
+func TestMachineGivesUpAndGoesOn(t *testing.T) {
+	m := New(self)
+	m.Handle(start, Submitted{1, Copied})
+	now := start
+	for {
+		at, ok := m.Next(now)
+		assert.Assert(t, ok && !at.After(start.Add(DefaultGiveUp)))
+		now = at
+		if effects := m.Handle(now, Tick{}); len(effects) > 0 {
+			assert.DeepEqual(t, texts(effects), []string{"GaveUp{1}"})
+			break
+		}
+	}
+	assert.Equal(t, now, start.Add(DefaultGiveUp))
+	effects := m.Handle(start.Add(time.Minute), TargetsChanged{Targets: targets})
+	assert.DeepEqual(t, texts(effects), []string{"Append{1 neighbour true false 0s}", "Append{1 near true false 0s}"})
+	assert.Equal(t, m.Owed(), 1)
+}
+
+// Guards against a failing target that is asked without pause, or whose pause
+// grows with each of several appends that fail together.
+func TestMachinePausesFailingTarget(t *testing.T) {
+	m := New(self)
+	m.Handle(start, TargetsChanged{Targets: []Target{vm("b", "r1", "b", true, 0)}})
+	m.Handle(start, Submitted{1, Durable})
+	m.Handle(start, Submitted{2, Durable})
+	m.Handle(start, AppendFailed{1, "b", TargetFailed})
+	assert.Equal(t, len(m.Handle(start, AppendFailed{2, "b", TargetFailed})), 0)
+	assert.Assert(t, !m.Reachable(start))
+	assert.Equal(t, len(m.Handle(start.Add(DefaultFirstPause-1), Tick{})), 0)
+	assert.Equal(t, len(m.Handle(start.Add(DefaultFirstPause), Tick{})), 2)
+}
+
+// world is a model of what targets hold, independent of the machine.
+type world struct {
+	t       *testing.T
+	random  *rand.Rand
+	machine *Machine
+	now     time.Time
+	seed    uint64
+	running []Append
+	// memory and disk hold, per batch, the VMs that have it.
+	memory  map[uint64]map[shmodel.VM]bool
+	disk    map[uint64]map[shmodel.VM]bool
+	faulty  bool
+	levels  map[uint64]Level
+	reached map[uint64]bool
+	done    map[uint64]bool
+}
+
+func place(name shmodel.VM) shmodel.Place {
+	at := slices.IndexFunc(targets, func(t Target) bool { return t.VM == name })
+	return targets[at].Place
+}
+
+func domains(vms map[shmodel.VM]bool) int {
+	places := make(map[shmodel.Place]bool)
+	for v := range vms {
+		places[place(v)] = true
+	}
+	return len(places)
+}
+
+func (w *world) handle(e Event) {
+	for _, effect := range w.machine.Handle(w.now, e) {
+		switch e := effect.(type) {
+		case Append:
+			w.checkAppend(e)
+			w.running = append(w.running, e)
+		case Reached:
+			w.reached[e.Batch] = true
+			w.checkReached(e.Batch)
+		case Released:
+			assert.Assert(w.t, domains(w.disk[e.Batch]) >= 2, "seed %d: batch %d released", w.seed, e.Batch)
+			assert.Assert(w.t, !w.done[e.Batch])
+			w.done[e.Batch] = true
+		}
+	}
+}
+
+func (w *world) checkAppend(e Append) {
+	onTheWay, twice := 0, false
+	for _, r := range w.running {
+		if r.Target == e.Target {
+			onTheWay++
+			twice = twice || r.Batch == e.Batch
+		}
+	}
+	if twice || e.Target == "self" || onTheWay >= self.InFlight {
+		w.t.Fatalf("seed %d: %+v with %d on the way, twice is %v", w.seed, e, onTheWay, twice)
+	}
+}
+
+func (w *world) checkReached(id uint64) {
+	switch w.levels[id] {
+	case Copied:
+		held := slices.ContainsFunc(targets, func(t Target) bool {
+			return t.Place != self.Place && (w.memory[id][t.VM] || w.disk[id][t.VM])
+		})
+		assert.Assert(w.t, held, "seed %d: batch %d", w.seed, id)
+	case Durable:
+		assert.Assert(w.t, domains(w.disk[id]) >= 2, "seed %d: batch %d", w.seed, id)
+	}
+}
+
+// finish ends a random append in progress, with a random fault.
+func (w *world) finish() {
+	if len(w.running) == 0 {
+		return
+	}
+	at := w.random.IntN(len(w.running))
+	a := w.running[at]
+	w.running = slices.Delete(w.running, at, at+1)
+	kind := 0
+	if w.faulty {
+		kind = w.random.IntN(8)
+	}
+	if kind == 1 {
+		w.handle(AppendFailed{a.Batch, a.Target, TargetFailed})
+		return
+	}
+	if kind == 2 {
+		w.handle(AppendFailed{a.Batch, a.Target, BatchRefused})
+		return
+	}
+	if a.Held && !w.memory[a.Batch][a.Target] && !w.disk[a.Batch][a.Target] {
+		w.handle(AppendFailed{a.Batch, a.Target, BatchLost})
+		return
+	}
+	w.memory[a.Batch][a.Target] = true
+	if a.Sync {
+		w.disk[a.Batch][a.Target] = true
+	}
+	if kind == 3 {
+		w.handle(AppendFailed{a.Batch, a.Target, TargetFailed})
+		return
+	}
+	w.handle(Appended{a.Batch, a.Target, a.Sync})
+}
+
+// restart loses what one target holds only in memory.
+func (w *world) restart() {
+	v := targets[1+w.random.IntN(len(targets)-1)].VM
+	for _, held := range w.memory {
+		delete(held, v)
+	}
+}
+
+func (w *world) step(next uint64) uint64 {
+	w.now = w.now.Add(time.Duration(w.random.IntN(20)) * time.Millisecond)
+	switch w.random.IntN(8) {
+	case 0, 1:
+		w.memory[next], w.disk[next] = make(map[shmodel.VM]bool), make(map[shmodel.VM]bool)
+		w.levels[next] = Level(w.random.IntN(3))
+		w.handle(Submitted{next, w.levels[next]})
+		return next + 1
+	case 2:
+		w.handle(Tick{})
+	case 3:
+		if w.random.IntN(8) == 0 {
+			w.restart()
+		}
+	case 4:
+		changed := slices.Clone(targets)
+		changed[w.random.IntN(len(changed))].Healthy = false
+		w.handle(TargetsChanged{changed})
+	default:
+		w.finish()
+	}
+	return next
+}
+
+// Guards against a batch that is acknowledged or released too early, sent to
+// the VM itself, sent twice at once, or never completed after the faults end.
+func TestMachineSeededHistories(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := &world{
+			t: t, random: rand.New(rand.NewPCG(seed, 3)), machine: New(self), now: start, seed: seed, faulty: true,
+			memory: make(map[uint64]map[shmodel.VM]bool), disk: make(map[uint64]map[shmodel.VM]bool),
+			levels: make(map[uint64]Level), reached: make(map[uint64]bool), done: make(map[uint64]bool),
+		}
+		w.handle(TargetsChanged{targets})
+		next := uint64(1)
+		for range 300 {
+			next = w.step(next)
+		}
+		w.faulty = false
+		w.handle(TargetsChanged{targets})
+		for range 10_000 {
+			if w.machine.Owed() == 0 {
+				break
+			}
+			w.finish()
+			if at, ok := w.machine.Next(w.now); ok && len(w.running) == 0 {
+				w.now = at
+				w.handle(Tick{})
+			}
+		}
+		assert.Equal(t, w.machine.Owed(), 0, "seed %d", seed)
+		assert.Equal(t, len(w.done), int(next-1), "seed %d", seed)
+	}
+}
