--- a/transport/shaccount/network_test.go
+++ b/transport/shaccount/network_test.go
@@ -20,6 +20,9 @@
 // network is a Replicator that calls stores in this process. Fault decides per
 // call what goes wrong.
 type network struct {
+	// power is held for writing while a store is replaced, so that a lost store
+	// answers no more.
+	power  sync.RWMutex
 	mu     sync.Mutex
 	stores map[shmodel.VM]*Store
 	fault  func(target shmodel.VM) fault
@@ -36,7 +39,7 @@
 
 func (n *network) Append(ctx context.Context, target shmodel.VM, request AppendRequest) (AppendResponse, error) {
 	n.mu.Lock()
-	store, f := n.stores[target], fault{}
+	f := fault{}
 	if n.fault != nil {
 		f = n.fault(target)
 	}
@@ -49,6 +52,11 @@
 			return AppendResponse{}, ctx.Err()
 		}
 	}
+	n.power.RLock()
+	defer n.power.RUnlock()
+	n.mu.Lock()
+	store := n.stores[target]
+	n.mu.Unlock()
 	if f.loseRequest || store == nil {
 		return AppendResponse{}, errNetwork
 	}
