Carry the incarnation of a backend server with each attempt

A backend server that restarted does not know which attempts ran or were cancelled before. If it answers not-run to a cancellation, an attempt that did run is reported as not run. Attempts and cancellations therefore name the incarnation that they are meant for.

--- a/coordination/shcontrol/command.go
+++ b/coordination/shcontrol/command.go
@@ -43,6 +43,9 @@
 	BackendServer shmodel.BackendServer `json:"backendServer"`
 	// Address is the IP:port of the backend server, for cancellation.
 	Address string `json:"address"`
+	// Incarnation is that of the backend server. Another incarnation does not
+	// know whether the attempt ran.
+	Incarnation uint64 `json:"incarnation"`
 	// DispatchBy is the absolute deadline that the backend server enforces.
 	DispatchBy time.Time `json:"dispatchBy"`
 }
--- a/coordination/shslot/event.go
+++ b/coordination/shslot/event.go
@@ -142,6 +142,7 @@
 type Reservation struct {
 	ID            ReservationID
 	BackendServer shmodel.BackendServer
+	Incarnation   uint64
 	Address       string
 	Place         shmodel.Place
 	Solo          bool
--- a/coordination/shslot/reserve.go
+++ b/coordination/shslot/reserve.go
@@ -81,6 +81,7 @@
 	r := Reservation{
 		ID:            ReservationID(t.ids),
 		BackendServer: b.BackendServer,
+		Incarnation:   b.Incarnation,
 		Address:       b.Address,
 		Place:         b.Place,
 		Solo:          w.Class == Solo,
--- a/protocol/shwire/wire.go
+++ b/protocol/shwire/wire.go
@@ -24,6 +24,11 @@
 	HeaderDeadline = "Sequoiahollow-Deadline"
 	// HeaderKey is the caller's idempotency key.
 	HeaderKey = "Idempotency-Key"
+	// HeaderIncarnation carries the incarnation of the backend server that an
+	// attempt is meant for, in requests and cancellations. A backend server of
+	// another incarnation has forgotten earlier runs and cancellations: it must
+	// refuse the request as not run, and answer done to the cancellation.
+	HeaderIncarnation = "Sequoiahollow-Incarnation"
 	// HeaderReplayed is "true" on a recorded answer.
 	HeaderReplayed = "Sequoiahollow-Replayed"
 )
