Add the execution of one attempt at the owner

Once-only work is dispatched only under a granted claim and within 250 ms of asking for it, and its claim is closed as not run only when that is certain.

--- /dev/null
+++ b/coordination/shrequest/executor.go
@@ -0,0 +1,595 @@
+package shrequest
+
+import (
+	"time"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/coordination/shslot"
+	"sequoiahollow/state/shmodel"
+)
+
+// Durations of an Executor.
+const (
+	// DispatchWindow is the time from the request of a claim within which its
+	// attempt must be sent. Another VM that settles the claim waits that long.
+	DispatchWindow = 250 * time.Millisecond
+	// askAgain is the pause before a command without an answer is repeated. It
+	// doubles up to askAgainMost while an outcome waits to be recorded.
+	askAgain     = 50 * time.Millisecond
+	askAgainMost = time.Second
+	// soloRetry is the pause before a solo run is tried again.
+	soloRetry = 200 * time.Millisecond
+	// cancelRetry is the pause between two cancellations of one attempt.
+	cancelRetry = 200 * time.Millisecond
+	// verdictWait covers shslot.LeaseDuration and one announcement interval,
+	// after which a break is either cleared or a suspected crash.
+	verdictWait = 2500 * time.Millisecond
+)
+
+// maxCancels bounds the cancellations without an answer; the backend server is
+// taken to be unreachable afterwards.
+const maxCancels = 3
+
+type executorStage int
+
+const (
+	reserving executorStage = iota
+	openingSolo
+	claiming
+	running
+	cancelling
+	closing
+	awaitingVerdict
+	executed
+)
+
+// ExecutorOptions describes one attempt.
+type ExecutorOptions struct {
+	Request Request
+	Attempt uint32
+	// VM is the VM that executes.
+	VM      shmodel.VM
+	Class   shslot.Class
+	Credit  shslot.CreditID
+	Exclude []shmodel.BackendServer
+	// ClockError bounds the difference of two wall clocks.
+	ClockError time.Duration
+}
+
+// Executor runs one attempt on a backend server of its VM. Create it with
+// NewExecutor.
+type Executor struct {
+	ExecutorOptions
+	stage       executorStage
+	reservation shslot.Reservation
+	timer       uint64
+	deadline    uint64
+
+	claimAsked time.Time
+	claim      shcontrol.OpenClaim
+	// claimOpen says that the claim is or may be open in control.
+	claimOpen bool
+	soloOpen  bool
+	// result is what Report carries once the claim is closed.
+	result   Execution
+	close    shcontrol.CloseClaim
+	cancels  int
+	pause    time.Duration
+	reported bool
+}
+
+// NewExecutor starts an attempt and returns its first effects.
+func NewExecutor(now time.Time, o ExecutorOptions) (*Executor, []Effect) {
+	x := &Executor{ExecutorOptions: o}
+	if !now.Before(o.Request.Deadline) {
+		return x, x.notRun(ReasonDeadline)
+	}
+	x.timer++
+	x.deadline = x.timer
+	return x, []Effect{
+		StartTimer{ID: x.deadline, After: o.Request.Deadline.Sub(now)},
+		x.reserve(),
+	}
+}
+
+// Finished says that no event has an effect any more.
+func (x *Executor) Finished() bool { return x.stage == executed }
+
+// Apply processes one event at time now.
+func (x *Executor) Apply(now time.Time, e Event) []Effect {
+	switch e := e.(type) {
+	case Reserved:
+		return x.onReserved(now, e)
+	case SoloReady:
+		if x.stage == reserving {
+			return []Effect{x.reserve()}
+		}
+	case ControlResult:
+		return x.onControl(now, e)
+	case AttemptResult:
+		return x.onResult(now, e.Result)
+	case AnswerStreaming:
+		if x.stage == running {
+			return []Effect{StreamAnswer{Attempt: x.Attempt}}
+		}
+	case Verdict:
+		return x.onVerdict(e)
+	case TimerFired:
+		return x.onTimer(now, e.ID)
+	case CallerGone:
+		return x.onCancel()
+	}
+	return nil
+}
+
+func (x *Executor) reserve() Effect {
+	return Reserve{Want: shslot.Want{
+		Service:   x.Request.Service,
+		Class:     x.Class,
+		Credit:    x.Credit,
+		RequestID: x.Request.ID,
+		Digest:    x.Request.Digest,
+		Exclude:   x.Exclude,
+	}}
+}
+
+func (x *Executor) solo() bool { return x.Class == shslot.Solo }
+
+func (x *Executor) onReserved(now time.Time, e Reserved) []Effect {
+	if x.stage != reserving {
+		if e.OK {
+			return []Effect{Release{ID: e.Reservation.ID, Result: shslot.NotDispatched}}
+		}
+		return nil
+	}
+	if !e.OK {
+		if x.solo() {
+			return []Effect{x.startTimer(soloRetry)}
+		}
+		return x.notRun(ReasonNoCapacity)
+	}
+	x.reservation = e.Reservation
+	x.result.BackendServer = e.Reservation.BackendServer
+	if x.solo() {
+		x.stage = openingSolo
+		return []Effect{x.askSolo()}
+	}
+	return x.reservedSlot(now)
+}
+
+func (x *Executor) askSolo() Effect {
+	x.soloOpen = true
+	return AskControl{Command: shcontrol.OpenSolo{
+		Digest:    x.Request.Digest,
+		RequestID: x.Request.ID,
+		VM:        x.VM,
+		Until:     x.Request.Deadline.Add(verdictWait),
+	}}
+}
+
+// reservedSlot continues with the slot and, for a solo run, its permission.
+func (x *Executor) reservedSlot(now time.Time) []Effect {
+	if !x.Request.onceOnly() {
+		return x.dispatch(x.Request.Deadline, x.Request.Deadline)
+	}
+	x.stage = claiming
+	x.claimAsked = now
+	x.claimOpen = true
+	x.claim = shcontrol.OpenClaim{
+		Key:       x.Request.claimKey(),
+		Digest:    x.Request.Digest,
+		RequestID: x.Request.ID,
+		Attempt: shcontrol.Attempt{
+			Number:        x.Attempt,
+			VM:            x.VM,
+			BackendServer: x.reservation.BackendServer,
+			Address:       x.reservation.Address,
+			Incarnation:   x.reservation.Incarnation,
+			DispatchBy:    earlier(now.Add(DispatchWindow), x.Request.Deadline),
+		},
+	}
+	return []Effect{AskControl{Command: x.claim}}
+}
+
+func (x *Executor) dispatch(deadline, notAfter time.Time) []Effect {
+	x.stage = running
+	x.result.Dispatched = true
+	return []Effect{Dispatch{
+		Reservation:   x.reservation,
+		Attempt:       x.Attempt,
+		Deadline:      deadline,
+		NotAfter:      notAfter,
+		NewConnection: x.Request.onceOnly() || x.Attempt > 1,
+	}}
+}
+
+func (x *Executor) onControl(now time.Time, e ControlResult) []Effect {
+	switch e.Command.(type) {
+	case shcontrol.OpenSolo:
+		if x.stage == openingSolo {
+			return x.onSolo(now, e.Result)
+		}
+	case shcontrol.OpenClaim:
+		if x.stage == claiming {
+			return x.onClaim(now, e.Result)
+		}
+	case shcontrol.CloseClaim:
+		if x.stage == closing {
+			return x.onClosed(e.Result)
+		}
+	}
+	return nil
+}
+
+func (x *Executor) onSolo(now time.Time, result shcontrol.Result) []Effect {
+	r, ok := result.(shcontrol.SuspectResult)
+	if !ok || len(r.Statuses) != 1 {
+		return []Effect{x.startTimer(askAgain)}
+	}
+	switch r.Statuses[0] {
+	case shcontrol.SuspectGranted:
+		return x.reservedSlot(now)
+	case shcontrol.SuspectNone:
+		x.soloOpen = false
+		return x.reservedSlot(now)
+	case shcontrol.SuspectQuarantined:
+		x.soloOpen = false
+		x.result.Final = true
+		return x.notRun(ReasonQuarantined)
+	default:
+		x.soloOpen = false
+		out := x.release(shslot.NotDispatched)
+		x.stage = reserving
+		return append(out, x.startTimer(soloRetry))
+	}
+}
+
+func (x *Executor) onClaim(now time.Time, result shcontrol.Result) []Effect {
+	r, ok := result.(shcontrol.ClaimResult)
+	late := now.Sub(x.claimAsked) > DispatchWindow || !now.Before(x.Request.Deadline)
+	if !ok {
+		if late {
+			return x.notRun(ReasonNoControl)
+		}
+		return []Effect{x.startTimer(askAgain)}
+	}
+	// A repeated command finds the claim that its first copy opened. Only this
+	// Executor may send that attempt, and it has not.
+	own := r.RequestID == x.Request.ID && r.Attempt.Number == x.Attempt && r.Attempt.VM == x.VM
+	if r.Status == shcontrol.ClaimGranted || r.Status == shcontrol.ClaimInProgress && own {
+		x.result.Claimed = true
+		if late {
+			return x.notRun(ReasonLateDispatch)
+		}
+		return x.dispatch(x.claim.Attempt.DispatchBy, x.claimAsked.Add(DispatchWindow))
+	}
+	x.claimOpen = false
+	return x.notGranted(r)
+}
+
+// notGranted reports what the claim of the key says instead of a run.
+func (x *Executor) notGranted(r shcontrol.ClaimResult) []Effect {
+	x.result.BackendServer = ""
+	x.result.Final = true
+	switch r.Status {
+	case shcontrol.ClaimAnswered:
+		x.result.Answer = r.Answer
+		x.result.Bytes = int64(len(r.Answer.Body))
+		x.result.Replayed = true
+		return x.finish(shmodel.Answered, ReasonNone)
+	case shcontrol.ClaimConflict:
+		return x.finish(shmodel.NotRun, ReasonKeyConflict)
+	case shcontrol.ClaimForbidden:
+		return x.finish(shmodel.NotRun, ReasonSettled)
+	case shcontrol.ClaimNotRun:
+		x.result.Final = false
+		return x.finish(shmodel.NotRun, ReasonSettled)
+	case shcontrol.ClaimInProgress:
+		x.result.Final = false
+		return x.finish(shmodel.Unknown, ReasonInProgress)
+	case shcontrol.ClaimUsedBefore:
+		// An earlier request with the key may have run.
+		return x.finish(shmodel.Unknown, ReasonKeyUsed)
+	default:
+		return x.finish(shmodel.Unknown, ReasonSettled)
+	}
+}
+
+func (x *Executor) onResult(now time.Time, result Result) []Effect {
+	if done, ok := result.(Complete); ok && (x.stage == running || x.stage == cancelling) {
+		return x.complete(done)
+	}
+	switch x.stage {
+	case running:
+		return x.onAttempt(now, result)
+	case cancelling:
+		return x.onCancelled(now, result)
+	default:
+		return nil
+	}
+}
+
+func (x *Executor) complete(done Complete) []Effect {
+	out := x.release(shslot.Completed)
+	out = append(out, x.closeSolo(true)...)
+	x.result.Answer = done.Answer
+	x.result.Bytes = done.Bytes
+	if x.Request.onceOnly() {
+		return append(out, x.closeClaim(shmodel.Answered, ReasonNone)...)
+	}
+	return append(out, x.finish(shmodel.Answered, ReasonNone)...)
+}
+
+// onAttempt handles the results that end a running attempt without an answer.
+func (x *Executor) onAttempt(now time.Time, result Result) []Effect {
+	switch result.(type) {
+	case ConnectionRefused:
+		out := x.release(shslot.NotRun)
+		return append(out, x.notRun(ReasonUnreachable)...)
+	case Shed:
+		out := x.release(shslot.Shed)
+		return append(out, x.notRun(ReasonShed)...)
+	case NotSent:
+		x.result.Dispatched = false
+		out := x.release(shslot.NotDispatched)
+		return append(out, x.notRun(ReasonLateDispatch)...)
+	case BrokenOff:
+		out := x.release(shslot.Broken)
+		if x.Request.onceOnly() {
+			return append(out, x.cancel())
+		}
+		x.stage = awaitingVerdict
+		wait := min(verdictWait, x.Request.Deadline.Sub(now))
+		return append(out, x.startTimer(wait))
+	case FirstByteTimeout, IDMismatch:
+		return []Effect{x.cancel()}
+	default:
+		return nil
+	}
+}
+
+func (x *Executor) cancel() Effect {
+	x.stage = cancelling
+	x.cancels++
+	return CancelAtBackend{
+		Address:     x.reservation.Address,
+		Incarnation: x.reservation.Incarnation,
+		RequestID:   x.Request.ID,
+		Attempt:     x.Attempt,
+	}
+}
+
+// onCancelled handles the answer to a cancellation. The connection of the
+// attempt is gone, so an answer cannot arrive any more, and a request that
+// runs or ran leaves an unknown outcome.
+//
+// Once-only work that may still be on its way is cancelled again after the
+// dispatch deadline: the backend server may restart and forget the cancellation.
+func (x *Executor) onCancelled(now time.Time, result Result) []Effect {
+	switch result.(type) {
+	case CancelNotRun:
+		certain := x.claim.Attempt.DispatchBy.Add(x.ClockError)
+		if x.Request.onceOnly() && !now.After(certain) {
+			x.cancels = 0
+			return []Effect{x.startTimer(certain.Sub(now) + time.Millisecond)}
+		}
+		out := x.release(shslot.NotRun)
+		return append(out, x.notRun(ReasonCancelled)...)
+	case CancelDone:
+		out := x.release(shslot.Completed)
+		out = append(out, x.closeSolo(false)...)
+		return append(out, x.lost()...)
+	case CancelRunning:
+		return x.abandon()
+	case CancelFailed:
+		if x.Request.onceOnly() && x.cancels < maxCancels {
+			return []Effect{x.startTimer(cancelRetry)}
+		}
+		return x.abandon()
+	default:
+		return nil
+	}
+}
+
+// abandon gives up on a request that may run on. A solo permission is left to
+// expire, because another solo run must not overlap.
+func (x *Executor) abandon() []Effect {
+	x.soloOpen = false
+	out := x.release(shslot.Abandoned)
+	return append(out, x.lost()...)
+}
+
+// lost ends an attempt that ran or may have run without an answer.
+func (x *Executor) lost() []Effect {
+	if x.Request.onceOnly() {
+		return x.closeClaim(shmodel.Unknown, ReasonLostAnswer)
+	}
+	return x.finish(shmodel.Unknown, ReasonLostAnswer)
+}
+
+func (x *Executor) onVerdict(e Verdict) []Effect {
+	if x.stage != awaitingVerdict {
+		return nil
+	}
+	var out []Effect
+	x.result.Crashed = e.Crashed
+	reason := ReasonCrashed
+	if !e.Crashed {
+		reason = ReasonLostAnswer
+		out = x.closeSolo(false)
+	}
+	return append(out, x.finish(shmodel.Unknown, reason)...)
+}
+
+// notRun ends an attempt that certainly did not run.
+func (x *Executor) notRun(reason Reason) []Effect {
+	out := x.release(shslot.NotDispatched)
+	out = append(out, x.closeSolo(false)...)
+	if x.claimOpen {
+		return append(out, x.closeClaim(shmodel.NotRun, reason)...)
+	}
+	return append(out, x.finish(shmodel.NotRun, reason)...)
+}
+
+func (x *Executor) closeClaim(outcome shmodel.Outcome, reason Reason) []Effect {
+	x.stage = closing
+	x.result.Outcome = outcome
+	x.result.Reason = reason
+	x.close = shcontrol.CloseClaim{
+		Key:       x.Request.claimKey(),
+		RequestID: x.Request.ID,
+		Attempt:   x.Attempt,
+		Outcome:   outcome,
+		Reason:    string(reason),
+	}
+	if outcome == shmodel.Answered {
+		x.close.Answer = x.result.Answer
+	}
+	return []Effect{AskControl{Command: x.close}}
+}
+
+// onClosed reports the outcome once it is committed. If another VM settled the
+// claim first, its outcome is final; but what did not run did not run.
+func (x *Executor) onClosed(result shcontrol.Result) []Effect {
+	if result == nil {
+		x.pause = min(max(askAgain, 2*x.pause), askAgainMost)
+		return []Effect{x.startTimer(x.pause)}
+	}
+	r, _ := result.(shcontrol.ClaimResult)
+	own := r.RequestID == x.Request.ID && r.Attempt.Number == x.Attempt
+	outcome, reason := x.result.Outcome, x.result.Reason
+	switch {
+	case outcome == shmodel.NotRun:
+	case r.Status == shcontrol.ClaimAnswered && own && outcome == shmodel.Answered:
+	default:
+		outcome, reason = shmodel.Unknown, ReasonLostAnswer
+		x.result.Final = true
+	}
+	return x.finish(outcome, reason)
+}
+
+// finish reports and ends the Executor.
+func (x *Executor) finish(outcome shmodel.Outcome, reason Reason) []Effect {
+	out := x.release(shslot.NotDispatched)
+	if !x.result.Crashed {
+		out = append(out, x.closeSolo(false)...)
+	}
+	x.stage = executed
+	return append(out, x.report(outcome, reason)...)
+}
+
+// report reports at most once. The Executor may go on to close its claim.
+func (x *Executor) report(outcome shmodel.Outcome, reason Reason) []Effect {
+	if x.reported {
+		return nil
+	}
+	x.reported = true
+	x.result.Outcome = outcome
+	x.result.Reason = reason
+	out := x.result
+	if outcome != shmodel.Answered {
+		out.Answer = shcontrol.Answer{}
+		out.Bytes = 0
+	}
+	return []Effect{Report{Execution: out}}
+}
+
+func (x *Executor) release(result shslot.Result) []Effect {
+	if x.reservation.ID == 0 {
+		return nil
+	}
+	id := x.reservation.ID
+	x.reservation.ID = 0
+	return []Effect{Release{ID: id, Result: result}}
+}
+
+func (x *Executor) closeSolo(succeeded bool) []Effect {
+	if !x.soloOpen {
+		return nil
+	}
+	x.soloOpen = false
+	return []Effect{AskControl{Command: shcontrol.CloseSolo{
+		Digest:    x.Request.Digest,
+		RequestID: x.Request.ID,
+		Succeeded: succeeded,
+	}}}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (x *Executor) startTimer(after time.Duration) Effect {
+	x.timer++
+	return StartTimer{ID: x.timer, After: after}
+}
+
+func (x *Executor) onTimer(now time.Time, id uint64) []Effect {
+	if id == x.deadline {
+		return x.onDeadline()
+	}
+	if id != x.timer {
+		return nil
+	}
+	switch x.stage {
+	case reserving:
+		return []Effect{x.reserve()}
+	case openingSolo:
+		return []Effect{x.askSolo()}
+	case claiming:
+		if now.Sub(x.claimAsked) > DispatchWindow {
+			return x.notRun(ReasonNoControl)
+		}
+		return []Effect{AskControl{Command: x.claim}}
+	case cancelling:
+		return []Effect{x.cancel()}
+	case closing:
+		return []Effect{AskControl{Command: x.close}}
+	case awaitingVerdict:
+		// Without a verdict the request is handled like one that crashes.
+		return x.onVerdict(Verdict{Crashed: true})
+	default:
+		return nil
+	}
+}
+
+// onDeadline reports what is known. Once-only work that was sent goes on until
+// its claim is closed.
+func (x *Executor) onDeadline() []Effect {
+	switch x.stage {
+	case reserving, openingSolo:
+		return x.notRun(ReasonDeadline)
+	case claiming:
+		out := x.notRun(ReasonDeadline)
+		return append(out, x.report(shmodel.NotRun, ReasonDeadline)...)
+	case running:
+		if x.Request.onceOnly() {
+			return x.report(shmodel.Unknown, ReasonDeadline)
+		}
+		return append(x.report(shmodel.Unknown, ReasonDeadline), x.cancel())
+	case cancelling:
+		return x.report(shmodel.Unknown, ReasonDeadline)
+	case closing:
+		return x.report(x.result.Outcome, x.result.Reason)
+	case awaitingVerdict:
+		return x.report(shmodel.Unknown, ReasonLostAnswer)
+	default:
+		return nil
+	}
+}
+
+// onCancel stops what can be stopped. Once-only work that was sent goes on.
+func (x *Executor) onCancel() []Effect {
+	switch x.stage {
+	case reserving, openingSolo, claiming:
+		return x.notRun(ReasonCancelled)
+	case running:
+		if !x.Request.onceOnly() {
+			return []Effect{x.cancel()}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/shrequest/types.go
@@ -0,0 +1,344 @@
+package shrequest
+
+import (
+	"time"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/coordination/shrouting"
+	"sequoiahollow/coordination/shslot"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+)
+
+// Request is what both roles know of a request. Deadline carries wall and
+// monotonic time.
+type Request struct {
+	ID           shmodel.RequestID
+	Service      shmodel.Service
+	Operation    shmodel.OperationKind
+	Key          string
+	Digest       shmodel.Digest
+	Deadline     time.Time
+	Caller       string
+	Method       string
+	Path         string
+	RequestBytes int64
+}
+
+func (r Request) claimKey() shmodel.ClaimKey {
+	return shmodel.ClaimKey{Service: r.Service, Key: r.Key}
+}
+
+func (r Request) onceOnly() bool { return r.Operation == shmodel.OnceOnly }
+
+// Reason explains an outcome that is not an answer. Reasons are stable names.
+type Reason string
+
+// Reasons.
+const (
+	ReasonNone         Reason = ""
+	ReasonNoCapacity   Reason = "no-capacity"
+	ReasonDeadline     Reason = "deadline"
+	ReasonNoRecord     Reason = "account-unavailable"
+	ReasonQuarantined  Reason = "quarantined"
+	ReasonKeyConflict  Reason = "key-conflict"
+	ReasonKeyUsed      Reason = "key-used-before"
+	ReasonInProgress   Reason = "in-progress"
+	ReasonSettled      Reason = "settled"
+	ReasonShed         Reason = "shed"
+	ReasonUnreachable  Reason = "unreachable"
+	ReasonLateDispatch Reason = "late-dispatch"
+	ReasonNoControl    Reason = "control-unavailable"
+	ReasonCancelled    Reason = "cancelled"
+	ReasonLostAnswer   Reason = "answer-lost"
+	ReasonRetryBudget  Reason = "retry-budget"
+	ReasonCallerGone   Reason = "caller-gone"
+	ReasonCrashed      Reason = "backend-server-crashed"
+)
+
+// Event is an input of a Receiver or an Executor. The set is closed.
+type Event interface{ event() }
+
+// Admitted is the first event of a Receiver.
+type Admitted struct {
+	Suspect shcontrol.SuspectStatus
+	// HedgeAfter is when a second copy is sent; zero is never.
+	HedgeAfter time.Duration
+}
+
+// ChoiceMade answers Choose. While a request waits after shrouting.Wait, another
+// ChoiceMade with the same ID may follow unasked when a slot becomes free.
+type ChoiceMade struct {
+	ID     uint64
+	Choice shrouting.Choice
+}
+
+// BudgetDenied answers a Choose with Retry or Hedge set.
+type BudgetDenied struct{ ID uint64 }
+
+// RecordCopied says that the awaited record has its copies.
+type RecordCopied struct{ Kind shrecord.Kind }
+
+// RecordFailed says that the awaited record could not get its copies.
+type RecordFailed struct{ Kind shrecord.Kind }
+
+// ControlResult answers AskControl. A nil Result means that no answer came; the
+// command may be committed nevertheless.
+type ControlResult struct {
+	Command shcontrol.Command
+	Result  shcontrol.Result
+}
+
+// AttemptResult ends or continues an attempt.
+type AttemptResult struct {
+	Attempt uint32
+	Result  Result
+}
+
+// AnswerStreaming says that the answer of an attempt is longer than the buffer.
+type AnswerStreaming struct{ Attempt uint32 }
+
+// Reserved answers Reserve.
+type Reserved struct {
+	Reservation shslot.Reservation
+	OK          bool
+}
+
+// SoloReady says that a solo Reserve may succeed now.
+type SoloReady struct{}
+
+// Verdict says whether the broken connection was a crash. The shell derives it
+// from shslot.CrashSuspected and shslot.BreakCleared.
+type Verdict struct{ Crashed bool }
+
+// TimerFired says that the timer with ID ran out.
+type TimerFired struct{ ID uint64 }
+
+// CallerGone says that the caller, or the forwarding entry VM, closed its
+// connection or cancelled.
+type CallerGone struct{}
+
+// SuspectChanged says that the status of the digest changed.
+type SuspectChanged struct{ Status shcontrol.SuspectStatus }
+
+func (Admitted) event()        {}
+func (ChoiceMade) event()      {}
+func (BudgetDenied) event()    {}
+func (RecordCopied) event()    {}
+func (RecordFailed) event()    {}
+func (ControlResult) event()   {}
+func (AttemptResult) event()   {}
+func (AnswerStreaming) event() {}
+func (Reserved) event()        {}
+func (SoloReady) event()       {}
+func (Verdict) event()         {}
+func (TimerFired) event()      {}
+func (CallerGone) event()      {}
+func (SuspectChanged) event()  {}
+
+// Result is the result of an attempt or of its cancellation. The set is closed.
+type Result interface{ result() }
+
+// Complete is a whole answer with the right request ID. Bytes is the length of
+// the body; Answer holds the body up to the limit of recorded answers.
+type Complete struct {
+	Answer shcontrol.Answer
+	Bytes  int64
+}
+
+// Executed is the report of an Executor that arrived whole.
+type Executed struct{ Execution Execution }
+
+// BrokenOff says that the connection broke after sending began.
+type BrokenOff struct{}
+
+// ConnectionRefused says that no connection came about; nothing was sent.
+type ConnectionRefused struct{}
+
+// Shed is an explicit refusal with outcome not-run.
+type Shed struct{}
+
+// FirstByteTimeout says that no answer began in time.
+type FirstByteTimeout struct{}
+
+// IDMismatch says that an answer to another request arrived.
+type IDMismatch struct{}
+
+// NotSent says that the shell did not send: shslot.Table.Dispatch returned
+// false or Dispatch.NotAfter had passed.
+type NotSent struct{}
+
+// CancelNotRun is the promise that the attempt did not and will not run.
+type CancelNotRun struct{}
+
+// CancelRunning says that the attempt runs and cannot be stopped.
+type CancelRunning struct{}
+
+// CancelDone says that the attempt ran to its end.
+type CancelDone struct{}
+
+// CancelFailed says that the cancellation got no valid answer.
+type CancelFailed struct{}
+
+func (Complete) result()          {}
+func (Executed) result()          {}
+func (BrokenOff) result()         {}
+func (ConnectionRefused) result() {}
+func (Shed) result()              {}
+func (FirstByteTimeout) result()  {}
+func (IDMismatch) result()        {}
+func (NotSent) result()           {}
+func (CancelNotRun) result()      {}
+func (CancelRunning) result()     {}
+func (CancelDone) result()        {}
+func (CancelFailed) result()      {}
+
+// Execution is what an Executor reports to the Receiver. Its JSON form may
+// travel between entry VMs.
+type Execution struct {
+	Outcome       shmodel.Outcome       `json:"outcome"`
+	Reason        Reason                `json:"reason,omitempty"`
+	BackendServer shmodel.BackendServer `json:"backendServer,omitempty"`
+	Answer        shcontrol.Answer      `json:"answer,omitzero"`
+	Bytes         int64                 `json:"bytes,omitempty"`
+	Replayed      bool                  `json:"replayed,omitempty"`
+	// Dispatched says that the request was sent to the backend server.
+	Dispatched bool `json:"dispatched,omitempty"`
+	// Claimed says that control granted the claim of this attempt.
+	Claimed bool `json:"claimed,omitempty"`
+	// Crashed says that the backend server died or may have died of it.
+	Crashed bool `json:"crashed,omitempty"`
+	// Final says that another attempt must not or need not be made.
+	Final bool `json:"final,omitempty"`
+}
+
+// Effect is an output of a Receiver or an Executor. The set is closed.
+type Effect interface{ effect() }
+
+// WriteRecord writes an account record. The shell fills in VM and At. With Await
+// set, RecordCopied or RecordFailed must follow; Durable asks for synced copies
+// on two account VMs in two failure domains.
+type WriteRecord struct {
+	Record  shrecord.Record
+	Await   bool
+	Durable bool
+}
+
+// Choose asks for a shrouting.Choice. With Retry or Hedge set the shell takes
+// from the budget first and answers BudgetDenied if that is used up.
+type Choose struct {
+	ID    uint64
+	Tried []shmodel.VM
+	Retry bool
+	Hedge bool
+}
+
+// Execute starts an Executor for the attempt on this VM.
+type Execute struct {
+	Attempt uint32
+	Solo    bool
+	// Exclude lists backend servers that failed this request.
+	Exclude []shmodel.BackendServer
+}
+
+// Forward sends the attempt to another entry VM. A non-zero Credit belongs to
+// a VM in another region.
+type Forward struct {
+	Attempt uint32
+	VM      shmodel.VM
+	Address string
+	Credit  uint64
+	Solo    bool
+	Exclude []shmodel.BackendServer
+}
+
+// CancelAttempt cancels an attempt that was executed or forwarded: its Executor
+// gets CallerGone. The AttemptResult is still due.
+type CancelAttempt struct{ Attempt uint32 }
+
+// AskControl proposes a command to control.
+type AskControl struct{ Command shcontrol.Command }
+
+// AnswerCaller ends the request with an answer, or with outcome unknown and no
+// answer. With Streamed set the body was passed on before.
+type AnswerCaller struct {
+	Outcome  shmodel.Outcome
+	Reason   Reason
+	Answer   shcontrol.Answer
+	Replayed bool
+	Attempt  uint32
+	Streamed bool
+}
+
+// RefuseCaller ends the request as certainly not run.
+type RefuseCaller struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// StreamAnswer passes the long answer of the attempt on to the caller.
+type StreamAnswer struct{ Attempt uint32 }
+
+// AbortCaller ends the request by closing the caller's connection, because a
+// streamed answer broke.
+type AbortCaller struct{}
+
+// StartTimer starts a timer.
+type StartTimer struct {
+	ID    uint64
+	After time.Duration
+}
+
+// Reserve asks the table for a slot. Class Remote needs the credit that came
+// with the forwarded request.
+type Reserve struct{ Want shslot.Want }
+
+// Dispatch sends the attempt to the reserved backend server. The shell calls
+// shslot.Table.Dispatch and checks that NotAfter has not passed by monotonic
+// time immediately before it writes. Deadline and Reservation.Incarnation go
+// into the headers; the backend server refuses to start the request after the
+// deadline or in another incarnation. NewConnection forbids a pooled connection.
+type Dispatch struct {
+	Reservation   shslot.Reservation
+	Attempt       uint32
+	Deadline      time.Time
+	NotAfter      time.Time
+	NewConnection bool
+}
+
+// CancelAtBackend sends a cancellation to a backend server and closes the
+// connection of the attempt, if this VM has one. Its answer is an AttemptResult
+// of the attempt: CancelDone if the backend server has another incarnation.
+type CancelAtBackend struct {
+	Address     string
+	Incarnation uint64
+	RequestID   shmodel.RequestID
+	Attempt     uint32
+}
+
+// Release ends a reservation.
+type Release struct {
+	ID     shslot.ReservationID
+	Result shslot.Result
+}
+
+// Report hands the result to the Receiver. It comes once per Executor; AskControl
+// effects to close a claim may follow.
+type Report struct{ Execution Execution }
+
+func (WriteRecord) effect()     {}
+func (Choose) effect()          {}
+func (Execute) effect()         {}
+func (Forward) effect()         {}
+func (CancelAttempt) effect()   {}
+func (AskControl) effect()      {}
+func (AnswerCaller) effect()    {}
+func (RefuseCaller) effect()    {}
+func (StreamAnswer) effect()    {}
+func (AbortCaller) effect()     {}
+func (StartTimer) effect()      {}
+func (Reserve) effect()         {}
+func (Dispatch) effect()        {}
+func (CancelAtBackend) effect() {}
+func (Release) effect()         {}
+func (Report) effect()          {}
