--- a/transport/shoperator/serve_test.go
+++ b/transport/shoperator/serve_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -11,9 +12,9 @@
 	"sequoiahollow/transport/shoperator"
 )
 
-// TestServeStops guards against a stop that leaves the address in use or
-// reports a planned end as an error.
-func TestServeStops(t *testing.T) {
+// TestServe guards against headers without bound, and against a stop that
+// leaves the address in use or reports a planned end as an error.
+func TestServe(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(t.Context())
@@ -21,6 +22,9 @@
 	go func() { done <- (&shoperator.Server{Backend: &fake{}, Token: token}).Serve(ctx, l) }()
 	response := send(t, l.Addr().String(), "GET /healthz", nil, "")
 	assert.Equal(t, response.StatusCode, http.StatusOK)
+	long := http.Header{"X-Long": {strings.Repeat("x", 2*shoperator.MaxHeaderBytes)}}
+	response = send(t, l.Addr().String(), "GET /healthz", long, "")
+	assert.Equal(t, response.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
 	stop()
 	assert.NilError(t, <-done)
 	again, err := net.Listen("tcp", l.Addr().String())
--- a/transport/shoperator/server.go
+++ b/transport/shoperator/server.go
@@ -23,11 +23,12 @@
 	MaxBodyBytes = 4 << 20
 	// MaxTargetBytes bounds the body of a drain.
 	MaxTargetBytes = 4 << 10
-	// MaxHeaderBytes and MaxHeaderFields bound the header of a request.
+	// MaxHeaderBytes and MaxHeaderFields bound the header of a request. net/http
+	// accepts 4 KiB more than MaxHeaderBytes.
 	MaxHeaderBytes  = 16 << 10
 	MaxHeaderFields = 64
 	// MaxConcurrent bounds the requests in progress, so that operators cannot
-	// take the memory that callers need.
+	// take the memory that callers need. Metrics and health do not count.
 	MaxConcurrent = 32
 	// MaxHistory bounds the edits in one answer.
 	MaxHistory = 1000
@@ -132,18 +133,26 @@
 	public := http.NewServeMux()
 	public.HandleFunc("GET /metrics", s.metrics)
 	public.HandleFunc("GET /healthz", s.healthz)
-	public.Handle("/", s.authorized(private))
-	return s.limited(public)
+	public.Handle("/", s.authorized(s.limited(private)))
+	return s.boundedHeader(public)
 }
 
-// limited bounds header fields and concurrency.
-func (s *Server) limited(next http.Handler) http.Handler {
-	running := make(chan struct{}, MaxConcurrent)
+// boundedHeader refuses requests with too many header fields.
+func (s *Server) boundedHeader(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if headerFields(r.Header) > MaxHeaderFields {
 			s.refuse(w, r, fail(KindHeaders, fmt.Errorf("more than %d header fields", MaxHeaderFields)), true)
 			return
 		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// limited bounds the requests in progress. It comes after the token, so that
+// nobody else can use up the limit.
+func (s *Server) limited(next http.Handler) http.Handler {
+	running := make(chan struct{}, MaxConcurrent)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case running <- struct{}{}:
 			defer func() { <-running }()
--- a/transport/shoperator/server_test.go
+++ b/transport/shoperator/server_test.go
@@ -35,8 +35,9 @@
 	unavailableAfter error
 	// fail is the error of every method.
 	fail error
-	// wait makes AccountVerify wait.
-	wait time.Duration
+	// wait makes AccountVerify wait. It sends to entered first, if that is set.
+	wait    time.Duration
+	entered chan struct{}
 	// export is written before fail is returned.
 	export string
 	target shoperator.Target
@@ -96,6 +97,9 @@
 }
 
 func (f *fake) AccountVerify(ctx context.Context) (shoperator.Verification, error) {
+	if f.entered != nil {
+		f.entered <- struct{}{}
+	}
 	select {
 	case <-ctx.Done():
 		return shoperator.Verification{}, ctx.Err()
@@ -372,3 +376,21 @@
 	_, err := client.AccountVerify(t.Context())
 	assert.NilError(t, err)
 }
+
+// TestConcurrency guards against slow requests that use up the memory of the
+// process or block its health check.
+func TestConcurrency(t *testing.T) {
+	f := &fake{wait: time.Hour, entered: make(chan struct{})}
+	c := start(t, f)
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for range shoperator.MaxConcurrent {
+		running.Go(func() { _, _ = c.AccountVerify(ctx) })
+		<-f.entered
+	}
+	_, err := c.Config(t.Context())
+	assert.Equal(t, kindOf(t, err), shoperator.KindUnavailable)
+	assert.Equal(t, send(t, c.Address, "GET /healthz", nil, "").StatusCode, http.StatusOK)
+	cancel()
+	running.Wait()
+}
