--- a/cmd/sequoiahollow/apply.go
+++ b/cmd/sequoiahollow/apply.go
@@ -41,6 +41,8 @@
 	Base   *uint64 `placeholder:"REVISION" help:"Revision that the folder is based on; the current one if left out."`
 	EditID string  `name:"edit-id" placeholder:"ID" help:"Edit ID to repeat an apply whose outcome is unknown, together with --base."`
 	Author string  `help:"Author of the edit; the user name if left out."`
+
+	RetryPause time.Duration `default:"1s" help:"Pause before an edit whose result is not known is sent again."`
 }
 
 // applyReport is the JSON form of the result. Changes is relative to the base
@@ -67,6 +69,7 @@
 		return err
 	}
 	defer cancel()
+	client.RetryPause = c.RetryPause
 	edit := shcontrol.ApplyConfig{EditID: c.EditID, Author: c.author(), Config: folder.Config}
 	if edit.EditID == "" {
 		edit.EditID = rand.Text()
--- a/cmd/sequoiahollow/main_test.go
+++ b/cmd/sequoiahollow/main_test.go
@@ -154,7 +154,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := &fakeBackend{current: shoperator.Current{Revision: 4, Config: older}, fail: c.fail}
 			serveFake(t, f)
-			code, out, stderr := execute(t, append([]string{"config", "apply", folder}, c.args...)...)
+			code, out, stderr := execute(t, append([]string{"config", "apply", folder, "--retry-pause", "1ms"}, c.args...)...)
 			assert.Equal(t, code, c.code, stderr)
 			contains(t, out+stderr, c.want)
 			assert.Assert(t, f.edit.EditID != "")
