--- a/coordination/shcontrol/claims.go
+++ b/coordination/shcontrol/claims.go
@@ -49,6 +49,9 @@
 	Full      agingMap[shmodel.ClaimKey, claim] `json:"full"`
 	Forbidden agingMap[settled, bool]           `json:"forbidden"`
 	Used      keyHashes                         `json:"used"`
+
+	// open holds the keys of claims in progress. It is rebuilt from Full.
+	open map[shmodel.ClaimKey]bool
 }
 
 func (c claim) result() ClaimResult {
@@ -69,9 +72,9 @@
 	return r
 }
 
-// open applies an OpenClaim. clockError is the largest difference between the
+// claim applies an OpenClaim. clockError is the largest difference between the
 // clocks of VMs.
-func (cs *claims) open(at time.Time, clockError time.Duration, c OpenClaim) Result {
+func (cs *claims) claim(at time.Time, clockError time.Duration, c OpenClaim) Result {
 	if c.Key.Key == "" || c.RequestID == 0 || c.Attempt.Number == 0 {
 		return Rejected{Reason: "a claim needs a key, a request ID and an attempt number"}
 	}
@@ -103,7 +106,7 @@
 		Attempt:   c.Attempt,
 		Status:    ClaimInProgress,
 	}
-	cs.Full.put(at, c.Key, opened)
+	cs.put(at, c.Key, opened)
 	return opened.withStatus(ClaimGranted)
 }
 
@@ -126,7 +129,7 @@
 	if status == ClaimAnswered {
 		held.Answer = bounded(c.Answer)
 	}
-	cs.Full.put(at, c.Key, held)
+	cs.put(at, c.Key, held)
 	return held.result()
 }
 
@@ -150,6 +153,48 @@
 	return held.withStatus(ClaimForbidden)
 }
 
+func (cs *claims) put(at time.Time, key shmodel.ClaimKey, c claim) {
+	cs.Full.put(at, key, c)
+	cs.index(key, c)
+}
+
+func (cs *claims) index(key shmodel.ClaimKey, c claim) {
+	if c.Status != ClaimInProgress {
+		delete(cs.open, key)
+		return
+	}
+	if cs.open == nil {
+		cs.open = map[shmodel.ClaimKey]bool{}
+	}
+	cs.open[key] = true
+}
+
+// rebuild derives the index after a restore.
+func (cs *claims) rebuild() {
+	cs.open = nil
+	for key := range cs.Full.entries {
+		c, _ := cs.Full.get(key)
+		cs.index(key, c)
+	}
+}
+
+// overdue returns up to limit claims in progress whose dispatch deadline has
+// passed by any permitted clock.
+func (cs *claims) overdue(now time.Time, clockError time.Duration, limit int) map[shmodel.ClaimKey]ClaimResult {
+	found := map[shmodel.ClaimKey]ClaimResult{}
+	for key := range cs.open {
+		c, ok := cs.Full.get(key)
+		if !ok || !now.After(c.Attempt.DispatchBy.Add(clockError)) {
+			continue
+		}
+		if len(found) == limit {
+			break
+		}
+		found[key] = c.result()
+	}
+	return found
+}
+
 // absent describes a key without a full claim.
 func (cs *claims) absent(key shmodel.ClaimKey, id shmodel.RequestID) ClaimResult {
 	if cs.Used.has(key) {
@@ -169,6 +214,7 @@
 		if !ok {
 			break
 		}
+		delete(cs.open, e.Key)
 		if e.Value.Status != ClaimNotRun {
 			cs.Used.add(e.Key)
 		}
--- a/coordination/shcontrol/state.go
+++ b/coordination/shcontrol/state.go
@@ -58,13 +58,13 @@
 	case ApplyConfig:
 		return s.revisions.edit(at, c)
 	case OpenClaim:
-		return s.claims.open(at, clockError(limits), c)
+		return s.claims.claim(at, clockError(limits), c)
 	case CloseClaim:
 		return s.claims.end(at, c)
 	case SettleClaim:
 		return s.claims.settle(at, c)
 	case RequestGrant:
-		return s.grants.request(s.revisions.Config, c)
+		return s.grants.request(at, s.revisions.Config, c)
 	case ExpireGrant:
 		return s.grants.expire(c)
 	case ReserveRange:
@@ -97,6 +97,7 @@
 	if err := decodeStrict(data, &i); err != nil {
 		return &Error{Op: "restore", Kind: Malformed, Err: err}
 	}
+	restored.claims.rebuild()
 	restored.grants.rebuild()
 	*s = restored
 	return nil
@@ -132,6 +133,12 @@
 	return ClaimResult{}, false
 }
 
+// Overdue returns up to limit claims in progress whose dispatch deadline has
+// passed by any permitted clock. Their attempts may need settlement.
+func (s *State) Overdue(now time.Time, limit int) map[shmodel.ClaimKey]ClaimResult {
+	return s.claims.overdue(now, clockError(s.revisions.Config.Limits), limit)
+}
+
 // Grants returns the active grants by ID.
 func (s *State) Grants() []Grant { return s.grants.list() }
 
--- a/protocol/shwire/wire.go
+++ b/protocol/shwire/wire.go
@@ -16,10 +16,6 @@
 	HeaderRequestID = "Sequoiahollow-Request-Id"
 	// HeaderAttempt carries the attempt number to backend servers.
 	HeaderAttempt = "Sequoiahollow-Attempt"
-	// HeaderIncarnation carries the incarnation that a backend server announced.
-	// A backend server with another incarnation refuses the request as not run,
-	// since it may have a new owner.
-	HeaderIncarnation = "Sequoiahollow-Incarnation"
 	// HeaderOutcome carries an shmodel.Outcome in answers.
 	HeaderOutcome = "Sequoiahollow-Outcome"
 	// HeaderTimeout is the caller's timeout in milliseconds.
@@ -107,6 +103,8 @@
 	CancelRunning CancelStatus = "running"
 	// CancelDone says that the attempt ran to its end.
 	CancelDone CancelStatus = "done"
+	// CancelUnknown says that the backend server restarted since.
+	CancelUnknown CancelStatus = "unknown"
 )
 
 // CancelAnswer is the body of the answer to a cancellation.
--- a/transport/shbackend/server.go
+++ b/transport/shbackend/server.go
@@ -196,7 +196,7 @@
 	if deadline, ok := deadlineOf(r); ok && time.Now().After(deadline) {
 		return nil, "expired"
 	}
-	if i := r.Header.Get(shwire.HeaderIncarnation); i != "" && i != strconv.FormatUint(s.config.Incarnation, 10) {
+	if s.otherIncarnation(r) {
 		return nil, "other incarnation"
 	}
 	if a := s.attempts[id]; a != nil {
@@ -215,6 +215,11 @@
 	return ctx, ""
 }
 
+func (s *Server) otherIncarnation(r *http.Request) bool {
+	i := r.Header.Get(shwire.HeaderIncarnation)
+	return i != "" && i != strconv.FormatUint(s.config.Incarnation, 10)
+}
+
 // run reports whether the request was cancelled before its end.
 func (s *Server) run(ctx context.Context, r *http.Request) bool {
 	d := s.config.ServiceTime
@@ -287,7 +292,11 @@
 	}
 	w.Header().Set(shwire.HeaderRequestID, id.request.String())
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(shwire.CancelAnswer{Status: s.cancel(id)})
+	status := shwire.CancelUnknown
+	if !s.otherIncarnation(r) {
+		status = s.cancel(id)
+	}
+	_ = json.NewEncoder(w).Encode(shwire.CancelAnswer{Status: status})
 }
 
 // cancel leaves a mark for an attempt that has not arrived, so that a later
--- /dev/null
+++ b/transport/shdaemon/account.go
@@ -0,0 +1,135 @@
+package shdaemon
+
+import (
+	"context"
+	"path/filepath"
+	"time"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/coordination/shdirectory"
+	"sequoiahollow/coordination/shreplication"
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/shaccount"
+	"sequoiahollow/transport/shpeer"
+	"sequoiahollow/transport/shview"
+)
+
+// defaultDistance is assumed for places between which the configuration names
+// no latency.
+const defaultDistance = 50 * time.Millisecond
+
+// openAccountStore opens the store of this VM: on disk with the account role,
+// otherwise in memory, for copies that other VMs wait for.
+func openAccountStore(s shsettings.Settings) (*shaccount.Store, error) {
+	var o shaccount.StoreOptions
+	if s.Has(shsettings.Account) {
+		o.Folder = filepath.Join(s.DataFolder, "account")
+	}
+	return shaccount.OpenStore(o)
+}
+
+func handleAccount(server *shpeer.Server, store *shaccount.Store) {
+	shpeer.Handle(server, shwire.MethodAccountAppend, store.HandleAppend)
+	shpeer.Handle(server, shwire.MethodAccountRead, store.Read)
+	shpeer.Handle(server, shwire.MethodRelease, func(ctx context.Context, r shaccount.ReleaseRequest) (shwire.Empty, error) {
+		return shwire.Empty{}, store.Release(ctx, r)
+	})
+}
+
+// replicator sends batches of records over jsonrpc2.
+type replicator struct {
+	client  *shpeer.Client
+	address func(shmodel.VM) string
+}
+
+// Append implements shaccount.Replicator.
+func (r replicator) Append(ctx context.Context, target shmodel.VM, q shaccount.AppendRequest) (shaccount.AppendResponse, error) {
+	return shpeer.Call[shaccount.AppendResponse](ctx, r.client, r.address(target), shwire.MethodAccountAppend, q)
+}
+
+// Release implements shaccount.Replicator.
+func (r replicator) Release(ctx context.Context, target shmodel.VM, q shaccount.ReleaseRequest) error {
+	_, err := shpeer.Call[shwire.Empty](ctx, r.client, r.address(target), shwire.MethodRelease, q)
+	return err
+}
+
+// newAllocator reserves request IDs for one process of a VM.
+func newAllocator(p *shview.Proposer, vm shmodel.VM, incarnation uint64) *shaccount.Allocator {
+	return shaccount.NewAllocator(func(ctx context.Context, count uint64) (shrecord.Range, error) {
+		r, err := shview.ProposeFor[shcontrol.RangeResult](ctx, p, shcontrol.ReserveRange{VM: vm, Incarnation: incarnation, Count: count})
+		return r.Range, err
+	})
+}
+
+// accountTargets lists the VMs that may take records: account VMs of the
+// settings, and entry VMs of the region for copies in memory.
+func accountTargets(s shsettings.Settings, v *shview.View) []shreplication.Target {
+	latency := v.LatencyMS(s.Region)
+	distance := func(p shmodel.Place) time.Duration {
+		if p.Region == s.Region {
+			return innerLatency(v, s.Region)
+		}
+		ms, ok := latency[p.Region]
+		if !ok {
+			return defaultDistance
+		}
+		return time.Duration(ms * float64(time.Millisecond))
+	}
+	up := map[shmodel.VM]bool{}
+	for _, h := range v.Entries {
+		up[h.VM] = true
+	}
+	var targets []shreplication.Target
+	listed := map[shmodel.VM]bool{}
+	for _, p := range s.Peers {
+		if !hasRole(p, shsettings.Account) {
+			continue
+		}
+		place := shmodel.Place{Region: p.Region, FailureDomain: p.FailureDomain}
+		listed[p.VM] = true
+		targets = append(targets, shreplication.Target{
+			VM: p.VM, Place: place, Disk: true, Healthy: len(up) == 0 || up[p.VM], Distance: distance(place),
+		})
+	}
+	for _, h := range v.Entries {
+		if !listed[h.VM] && h.Place.Region == s.Region {
+			targets = append(targets, shreplication.Target{VM: h.VM, Place: h.Place, Healthy: true, Distance: distance(h.Place)})
+		}
+	}
+	return targets
+}
+
+func innerLatency(v *shview.View, region shmodel.Region) time.Duration {
+	if !v.Ready() {
+		return time.Millisecond
+	}
+	return time.Duration(v.Config.Config.Regions[region].InnerLatencyMS * float64(time.Millisecond))
+}
+
+func hasRole(p shsettings.Peer, r shsettings.Role) bool {
+	for _, x := range p.Roles {
+		if x == r {
+			return true
+		}
+	}
+	return false
+}
+
+// peerAddresses returns a look-up from VM to peer address.
+func peerAddresses(s shsettings.Settings, entries func() []shdirectory.Heartbeat) func(shmodel.VM) string {
+	fixed := map[shmodel.VM]string{}
+	for _, p := range s.Peers {
+		fixed[p.VM] = p.PeerAddress
+	}
+	return func(vm shmodel.VM) string {
+		for _, h := range entries() {
+			if h.VM == vm {
+				return h.PeerAddress
+			}
+		}
+		return fixed[vm]
+	}
+}
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -1,89 +1,383 @@
-// Package shdaemon composes the roles of one process.
+// Package shdaemon composes the roles of one process and stops them in order.
 package shdaemon
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
-	"sync"
-
-	"golang.org/x/sync/errgroup"
+	"strconv"
+	"sync/atomic"
+	"time"
 
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/coordination/shdirectory"
+	"sequoiahollow/coordination/shreplication"
+	"sequoiahollow/coordination/shrouting"
+	"sequoiahollow/coordination/shslot"
 	"sequoiahollow/protocol/shwire"
-	"sequoiahollow/state/shrecord"
 	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/shaccount"
 	"sequoiahollow/transport/shentry"
+	"sequoiahollow/transport/shpeer"
+	"sequoiahollow/transport/shreplica"
+	"sequoiahollow/transport/shstore"
+	"sequoiahollow/transport/shview"
+)
+
+const (
+	// reportInterval is the time between slot reports to peers in the region.
+	reportInterval = 200 * time.Millisecond
+	// refreshInterval is the time between looks at the view for what depends on
+	// the configuration or the directory.
+	refreshInterval = 200 * time.Millisecond
+	callTimeout     = 500 * time.Millisecond
+	// crashReportTimeout bounds the report of a crash. The requests that were
+	// running wait for it.
+	crashReportTimeout = 2 * time.Second
+	initialReserve     = 0.2
 )
 
-// Run serves until the context ends, then finishes the requests in flight.
+// daemon is the running process.
+type daemon struct {
+	settings    shsettings.Settings
+	log         *slog.Logger
+	incarnation uint64
+	leaving     atomic.Bool
+
+	traffic  *shpeer.Traffic
+	client   *shpeer.Client
+	server   *shpeer.Server
+	replica  *shreplica.Replica
+	store    *shaccount.Store
+	outbox   *shaccount.Outbox
+	ids      *shaccount.Allocator
+	proposer *shview.Proposer
+	syncer   *shview.Syncer
+	entry    *shentry.Entry
+	burn     burnRecorder
+	http     httpServers
+}
+
+// Run runs the roles of the settings until ctx ends, then stops gracefully. It
+// returns early with an error if a role fails.
 func Run(ctx context.Context, s shsettings.Settings, log *slog.Logger) error {
-	account, err := openAccount(s.DataFolder)
+	d := &daemon{settings: s, log: log.With("vm", s.VM), incarnation: uint64(time.Now().UnixNano())}
+	if err := d.open(); err != nil {
+		return errors.Join(err, d.close())
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := d.serve(background); err != nil {
+		return errors.Join(err, d.close())
+	}
+	d.log.Info("daemon started", "roles", s.Roles, "callerAddress", s.CallerAddress, "incarnation", d.incarnation)
+	var failure error
+	select {
+	case <-ctx.Done():
+		d.stop(background)
+	case failure = <-d.http.failed:
+	case <-d.replicaDone():
+		failure = fmt.Errorf("replicated store: %w", d.replica.Err())
+	}
+	cancel()
+	return errors.Join(failure, d.close())
+}
+
+// replicaDone returns a channel that never closes without the control role.
+func (d *daemon) replicaDone() <-chan struct{} {
+	if d.replica == nil {
+		return nil
+	}
+	return d.replica.Done()
+}
+
+// open makes the parts without serving.
+func (d *daemon) open() error {
+	s := d.settings
+	d.traffic = new(shpeer.Traffic)
+	config := shpeer.Config{Self: s.PeerAddress, Traffic: d.traffic, Logger: d.log}
+	d.client = shpeer.NewClient(config)
+	d.server = shpeer.NewServer(config)
+	store, err := openAccountStore(s)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = account.file.Close() }()
-	entry := &shentry.Entry{
-		Self:       shwire.EntryAddress{VM: s.VM, Region: s.Region, FailureDomain: s.FailureDomain, Address: s.CallerAddress},
-		Dispatcher: shentry.NewDispatcher(),
-		Write:      account.write,
-	}
-	g, ctx := errgroup.WithContext(ctx)
-	serve := func(address string, h http.Handler) error {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return err
+	d.store = store
+	handleAccount(d.server, store)
+	control := controlAddresses(s)
+	d.proposer = &shview.Proposer{Client: d.client, Addresses: control}
+	d.syncer = &shview.Syncer{Client: d.client, Proposer: d.proposer, Addresses: control, Heartbeat: d.heartbeat, Log: d.log}
+	d.openEntry()
+	if s.Has(shsettings.Control) {
+		return d.openReplica()
+	}
+	return nil
+}
+
+func (d *daemon) openReplica() error {
+	s := d.settings
+	var voters []shstore.Peer
+	var others []string
+	for _, p := range s.Peers {
+		if !hasRole(p, shsettings.Control) {
+			continue
+		}
+		voters = append(voters, shstore.Peer{VM: p.VM, Address: p.PeerAddress})
+		if p.VM != s.VM {
+			others = append(others, p.PeerAddress)
 		}
-		server := shentry.NewServer(h)
-		g.Go(func() error {
-			<-ctx.Done()
-			return server.Shutdown(context.WithoutCancel(ctx))
-		})
-		g.Go(func() error {
-			if err := server.Serve(l); err != http.ErrServerClosed {
-				return err
-			}
-			return nil
-		})
-		return nil
 	}
-	if err := serve(s.CallerAddress, entry.CallerHandler()); err != nil {
+	replica, err := shreplica.Open(shreplica.Config{
+		VM: s.VM, Incarnation: d.incarnation, Others: others, Log: d.log,
+		Store: shstore.Config{
+			VM: s.VM, Address: s.PeerAddress, Folder: filepath.Join(s.DataFolder, "control"),
+			Voters: voters, Bootstrap: true, Client: d.client, Server: d.server, Logger: d.log,
+		},
+	})
+	d.replica = replica
+	return err
+}
+
+func (d *daemon) openEntry() {
+	s := d.settings
+	address := peerAddresses(s, func() []shdirectory.Heartbeat { return d.syncer.View().Entries })
+	d.outbox = shaccount.NewOutbox(replicator{client: d.client, address: address}, shaccount.OutboxOptions{
+		Replication: shreplication.Config{Self: s.VM, Place: s.Place()}, Incarnation: d.incarnation,
+	})
+	d.ids = newAllocator(d.proposer, s.VM, d.incarnation)
+	salt := string(s.VM) + "-" + strconv.FormatUint(d.incarnation, 36)
+	permitted := func() bool { return d.syncer.View().Confirmed(time.Now()) }
+	d.entry = &shentry.Entry{
+		VM: s.VM, Place: s.Place(), View: d.syncer.View, Control: d.proposer.Propose,
+		Account: d.outbox, IDs: d.ids, Policy: shrouting.Objectives{}, Observe: d.burn.observe, Log: d.log,
+		Slots:   shentry.NewSlots(salt, initialReserve, d.reportCrash),
+		Links:   &shentry.Links{VM: s.VM, Region: s.Region, Propose: d.requestGrant, Permitted: permitted, Log: d.log},
+		Credits: &shentry.Credits{VM: s.VM, Ask: d.askCredit},
+	}
+	d.entry.Init()
+	shpeer.Handle(d.server, shwire.MethodCredit, d.lendCredit)
+	shpeer.Handle(d.server, shwire.MethodSlots, d.takeSlotReport)
+	shpeer.Handle(d.server, shwire.MethodBurn, d.readBurn)
+}
+
+// serve starts the loops and listeners.
+func (d *daemon) serve(ctx context.Context) error {
+	peers, err := net.Listen("tcp", d.settings.PeerAddress)
+	if err != nil {
 		return err
 	}
-	if err := serve(s.ServerAddress, entry.ServerHandler()); err != nil {
+	go func() {
+		if err := d.server.Serve(peers); err != nil {
+			d.http.fail(err)
+		}
+	}()
+	go d.syncer.Run(ctx)
+	go every(ctx, refreshInterval, d.refresh)
+	go d.ids.Run(ctx)
+	go d.entry.Slots.Run(ctx)
+	go d.entry.Links.Run(ctx)
+	go every(ctx, reportInterval, func() { d.reportSlots(ctx) })
+	go d.settleOwed(ctx)
+	d.http.init()
+	operator, err := d.operatorHandler()
+	if err != nil {
 		return err
 	}
-	log.Info("daemon started", "vm", s.VM, "callerAddress", s.CallerAddress, "serverAddress", s.ServerAddress)
-	return g.Wait()
+	return errors.Join(
+		d.http.serve("caller", d.settings.CallerAddress, d.entry.CallerHandler()),
+		d.http.serve("server", d.settings.ServerAddress, d.entry.ServerHandler()),
+		d.http.serve("operator", d.settings.OperatorAddress, operator),
+	)
+}
+
+// close closes what open made.
+func (d *daemon) close() error {
+	errs := []error{d.http.close()}
+	if d.replica != nil {
+		errs = append(errs, d.replica.Close())
+	}
+	if d.server != nil {
+		errs = append(errs, d.server.Close(), d.client.Close())
+	}
+	if d.store != nil {
+		errs = append(errs, d.store.Close())
+	}
+	return errors.Join(errs...)
 }
 
-type account struct {
-	mu   sync.Mutex
-	file *os.File
+// heartbeat is the state of this VM. Free slots change all the time and go to
+// the peers in the region only.
+func (d *daemon) heartbeat() shdirectory.Heartbeat {
+	s := d.settings
+	services := d.entry.Slots.Services()
+	for name, slots := range services {
+		services[name] = shdirectory.Slots{Total: slots.Total}
+	}
+	return shdirectory.Heartbeat{
+		VM: s.VM, Place: s.Place(), Incarnation: d.incarnation, CallerAddress: s.CallerAddress,
+		ServerAddress: s.ServerAddress, PeerAddress: s.PeerAddress, Leaving: d.leaving.Load(), Services: services,
+	}
 }
 
-func openAccount(folder string) (*account, error) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
-		return nil, err
+// refresh passes changes of the view on.
+func (d *daemon) refresh() {
+	v := d.syncer.View()
+	d.outbox.SetTargets(accountTargets(d.settings, v))
+	if v.Ready() {
+		d.entry.Slots.SetReserveShare(v.Config.Config.Limits.ReserveShare)
+		d.burn.configure(v.Config.Config)
 	}
-	f, err := os.OpenFile(filepath.Join(folder, "account.jsonl"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	return &account{file: f}, err
 }
 
-func (a *account) write(records ...shrecord.Record) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, r := range records {
-		line, err := json.Marshal(r)
-		if err != nil {
-			return err
+func (d *daemon) requestGrant(ctx context.Context, c shcontrol.RequestGrant) (shcontrol.GrantResult, error) {
+	return shview.ProposeFor[shcontrol.GrantResult](ctx, d.proposer, c)
+}
+
+func (d *daemon) askCredit(ctx context.Context, address string, q shwire.CreditRequest) (shwire.CreditResponse, error) {
+	return shpeer.Call[shwire.CreditResponse](ctx, d.client, address, shwire.MethodCredit, q)
+}
+
+// lendCredit lends slots, and prepares the link for the answers.
+func (d *daemon) lendCredit(_ context.Context, q shwire.CreditRequest) (shwire.CreditResponse, error) {
+	for _, h := range d.syncer.View().Entries {
+		if h.VM == q.VM {
+			d.entry.Links.Want(h.Place.Region, 0)
 		}
-		if _, err := a.file.Write(append(line, '\n')); err != nil {
-			return err
+	}
+	return d.entry.Slots.Credit(q), nil
+}
+
+// reportSlots tells the peers in the region what this VM can serve.
+func (d *daemon) reportSlots(ctx context.Context) {
+	report := shwire.SlotReport{VM: d.settings.VM, Services: d.entry.Slots.Services()}
+	for _, h := range d.syncer.View().Entries {
+		if h.VM == d.settings.VM || h.Place.Region != d.settings.Region {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			// A report that gets lost is replaced by the next one.
+			_ = shpeer.Notify(ctx, d.client, h.PeerAddress, shwire.MethodSlots, report)
+		}()
+	}
+}
+
+func (d *daemon) takeSlotReport(_ context.Context, r shwire.SlotReport) (shwire.Empty, error) {
+	for _, h := range d.syncer.View().Entries {
+		if h.VM == r.VM {
+			d.entry.Slots.Observe(h, r)
+		}
+	}
+	return shwire.Empty{}, nil
+}
+
+// reportCrash commits the strikes of a suspected crash and waits until the next
+// heartbeats of all entry VMs have brought them along.
+func (d *daemon) reportCrash(c shslot.CrashSuspected) {
+	d.log.Warn("backend server is suspected to have crashed", "backendServer", c.BackendServer, "requests", len(c.Digests), "solo", c.Solo)
+	if len(c.Digests) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+	defer cancel()
+	_, err := d.proposer.Propose(ctx, shcontrol.ReportCrash{BackendServer: c.BackendServer, Digests: c.Digests, Solo: c.Solo})
+	if err != nil {
+		d.log.Error("strike was not committed", "backendServer", c.BackendServer, "error", err)
+		return
+	}
+	d.syncer.Wake()
+	time.Sleep(shdirectory.HeartbeatInterval)
+}
+
+// controlAddresses lists the control VMs, the nearest first.
+func controlAddresses(s shsettings.Settings) []string {
+	var near [3][]string
+	for _, p := range s.Peers {
+		switch {
+		case !hasRole(p, shsettings.Control):
+		case p.VM == s.VM:
+			near[0] = append(near[0], p.PeerAddress)
+		case p.Region == s.Region:
+			near[1] = append(near[1], p.PeerAddress)
+		default:
+			near[2] = append(near[2], p.PeerAddress)
+		}
+	}
+	return append(append(near[0], near[1]...), near[2]...)
+}
+
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// httpServers are the HTTP listeners of the process.
+type httpServers struct {
+	failed  chan error
+	servers map[string]*http.Server
+}
+
+func (h *httpServers) init() {
+	h.failed = make(chan error, 8)
+	h.servers = map[string]*http.Server{}
+}
+
+func (h *httpServers) fail(err error) {
+	select {
+	case h.failed <- err:
+	default:
+	}
+}
+
+func (h *httpServers) serve(name, address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("%s address: %w", name, err)
+	}
+	server := shentry.NewServer(handler)
+	h.servers[name] = server
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			h.fail(fmt.Errorf("%s listener: %w", name, err))
 		}
+	}()
+	return nil
+}
+
+// shutdown closes a listener and waits for its requests in flight.
+func (h *httpServers) shutdown(ctx context.Context, name string) error {
+	server := h.servers[name]
+	if server == nil {
+		return nil
+	}
+	return server.Shutdown(ctx)
+}
+
+func (h *httpServers) close() error {
+	var errs []error
+	for _, s := range h.servers {
+		errs = append(errs, s.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// callerCacheTime returns how long callers may keep a look-up answer.
+func callerCacheTime(v *shview.View) time.Duration {
+	if !v.Ready() {
+		return 0
 	}
-	return a.file.Sync()
+	return time.Duration(v.Config.Config.Limits.LookupCacheMS) * time.Millisecond
 }
--- /dev/null
+++ b/transport/shentry/caller.go
@@ -0,0 +1,194 @@
+package shentry
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sequoiahollow/coordination/shrequest"
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+	"sequoiahollow/transport/shaccount"
+	"sequoiahollow/transport/shview"
+)
+
+const (
+	defaultTimeout = 5 * time.Second
+	maxKeyBytes    = 255
+	maxPathBytes   = 4 << 10
+	retryAfter     = time.Second
+)
+
+// CallerHandler serves callers.
+func (e *Entry) CallerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+shwire.PathEntries, e.handleEntries)
+	mux.HandleFunc("/", e.handleRequest)
+	return mux
+}
+
+// ServerHandler serves backend servers and other entry VMs.
+func (e *Entry) ServerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+shwire.PathAnnouncements, e.handleAnnouncement)
+	mux.HandleFunc("POST "+shwire.PathForward, e.handleForward)
+	return mux
+}
+
+// rejection is why a request is refused before any decision on routing.
+type rejection struct {
+	status int
+	reason string
+	detail string
+}
+
+// handleRequest admits a request of a caller.
+func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	v := e.View()
+	if problem := e.unready(v); problem != "" {
+		// Without a number or an account the refusal leaves no record.
+		WriteProblem(w, problemOf(http.StatusServiceUnavailable, "not ready", problem, 0, shmodel.NotRun), retryAfter)
+		return
+	}
+	id, err := e.IDs.Next()
+	if err != nil {
+		WriteProblem(w, problemOf(http.StatusServiceUnavailable, "not ready", "no request ID is left", 0, shmodel.NotRun), retryAfter)
+		return
+	}
+	q := shrequest.Request{ID: id, Method: r.Method, Path: r.URL.Path, Caller: callerOf(r), Key: r.Header.Get(shwire.HeaderKey)}
+	body, rejected := e.admit(v, w, r, &q)
+	if rejected != nil {
+		e.reject(w, q, start, *rejected)
+		return
+	}
+	e.countRequest(v.Config.Config.Limits)
+	c := &reception{
+		entry: e, request: q, writer: w, ctx: r.Context(), start: start, mailbox: newMailbox(),
+		payload:    payload{method: r.Method, uri: r.URL.RequestURI(), header: passOn(r.Header), body: body},
+		executions: map[uint32]func(shrequest.Event){}, streams: map[uint32]*pendingStream{},
+	}
+	c.machine = shrequest.NewReceiver(shrequest.ReceiverOptions{
+		Request: q, VM: e.VM, Region: e.Place.Region, ClockError: clockError(v),
+	})
+	c.run(c.machine.Apply(start, shrequest.Admitted{Suspect: v.Suspects[q.Digest], HedgeAfter: e.hedgeAfter(v, q)}))
+	if c.status < http.StatusInternalServerError {
+		e.hedging.observe(q.Service, time.Since(start))
+	}
+}
+
+// unready returns why no request can be taken, or nothing.
+func (e *Entry) unready(v *shview.View) string {
+	if !v.Ready() {
+		return "no configuration was confirmed by a quorum yet"
+	}
+	if err := e.Account.Ready(); err != nil {
+		return "the account takes no records: " + err.Error()
+	}
+	return ""
+}
+
+// admit fills in the request and reads its body.
+func (e *Entry) admit(v *shview.View, w http.ResponseWriter, r *http.Request, q *shrequest.Request) ([]byte, *rejection) {
+	service := v.Config.Find(r.Header.Get(shwire.HeaderService), r.Host)
+	if service == nil {
+		return nil, &rejection{http.StatusNotFound, "unknown service", "name the service in " + shwire.HeaderService + " or by host"}
+	}
+	q.Service = service.Name
+	q.Operation = service.Kind(r.Method, r.URL.EscapedPath())
+	if len(q.Path) > maxPathBytes {
+		return nil, &rejection{http.StatusRequestURITooLong, "path too long", ""}
+	}
+	if q.Operation == shmodel.OnceOnly && q.Key == "" {
+		return nil, &rejection{http.StatusBadRequest, "idempotency key missing", "this operation needs the header " + shwire.HeaderKey}
+	}
+	if len(q.Key) > maxKeyBytes {
+		return nil, &rejection{http.StatusBadRequest, "idempotency key too long", "at most 255 bytes"}
+	}
+	timeout, err := timeoutOf(r, service.Service)
+	if err != nil {
+		return nil, &rejection{http.StatusBadRequest, "malformed timeout", err.Error()}
+	}
+	q.Deadline = time.Now().Add(timeout)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, service.Service.BodyLimit()))
+	if _, large := errors.AsType[*http.MaxBytesError](err); large {
+		return nil, &rejection{http.StatusRequestEntityTooLarge, "body too large", ""}
+	}
+	if err != nil {
+		return nil, &rejection{http.StatusBadRequest, "body incomplete", err.Error()}
+	}
+	q.RequestBytes = int64(len(body))
+	q.Digest = digestOf(q.Service, r.Method, r.URL.RequestURI(), body)
+	return body, nil
+}
+
+func timeoutOf(r *http.Request, s shconfig.Service) (time.Duration, error) {
+	text := r.Header.Get(shwire.HeaderTimeout)
+	if text == "" {
+		if s.DefaultTimeoutMS <= 0 {
+			return defaultTimeout, nil
+		}
+		return time.Duration(s.DefaultTimeoutMS) * time.Millisecond, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err == nil && (ms <= 0 || ms > shconfig.MaxTimeout.Milliseconds()) {
+		err = errors.New("milliseconds from 1 to one hour")
+	}
+	return time.Duration(ms) * time.Millisecond, err
+}
+
+// digestOf identifies a request by content. Lengths keep the parts apart.
+func digestOf(service shmodel.Service, method, uri string, body []byte) shmodel.Digest {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(service), []byte(method), []byte(uri), body} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write(part)
+	}
+	return shmodel.Digest(h.Sum(nil)[:16])
+}
+
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+func clockError(v *shview.View) time.Duration {
+	return time.Duration(v.Config.Config.Limits.ClockErrorMS) * time.Millisecond
+}
+
+func (e *Entry) hedgeAfter(v *shview.View, q shrequest.Request) time.Duration {
+	if v.Config.Config.Objective != shconfig.Latency || q.Operation != shmodel.Idempotent {
+		return 0
+	}
+	return e.hedging.after(q.Service)
+}
+
+// reject refuses a request with a record.
+func (e *Entry) reject(w http.ResponseWriter, q shrequest.Request, start time.Time, x rejection) {
+	record := shrecord.Record{
+		RequestID: q.ID, Kind: shrecord.Refused, VM: e.VM, At: time.Now(), Service: q.Service, Method: q.Method,
+		Path: q.Path, Operation: q.Operation, Key: q.Key, Caller: q.Caller, FromRegion: e.Place.Region,
+		Outcome: shmodel.NotRun, Reason: x.reason, Status: x.status, DurationUS: time.Since(start).Microseconds(),
+	}
+	if len(record.Path) > maxPathBytes {
+		record.Path = record.Path[:maxPathBytes]
+	}
+	if len(record.Key) > maxKeyBytes {
+		record.Key = record.Key[:maxKeyBytes]
+	}
+	_ = e.append(record, shaccount.Copied)
+	e.Observe(record)
+	WriteProblem(w, problemOf(x.status, x.reason, x.detail, q.ID, shmodel.NotRun), 0)
+}
--- /dev/null
+++ b/transport/shentry/choose.go
@@ -0,0 +1,227 @@
+package shentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sequoiahollow/coordination/shdirectory"
+	"sequoiahollow/coordination/shrequest"
+	"sequoiahollow/coordination/shrouting"
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shview"
+)
+
+const (
+	// expectedAnswerBytes stands for the answer of a shifted request before any
+	// was measured.
+	expectedAnswerBytes = 16 << 10
+	// askedOwners is the number of owners in other regions that are asked for
+	// credits at a time.
+	askedOwners = 2
+	// noOwnerPause separates choices at a VM that owns no backend server of the
+	// service, where nothing would end a wait.
+	noOwnerPause = 20 * time.Millisecond
+)
+
+// choose answers a Choose effect.
+func (c *reception) choose(f shrequest.Choose) {
+	if !c.entry.spend(f) {
+		c.mailbox.post(shrequest.BudgetDenied{ID: f.ID})
+		return
+	}
+	c.mailbox.post(shrequest.ChoiceMade{ID: f.ID, Choice: c.decide(f)})
+}
+
+// decide asks the policy. When the region has no slot now, it asks owners in
+// other regions for credits and asks the policy again.
+func (c *reception) decide(f shrequest.Choose) shrouting.Choice {
+	v := c.entry.View()
+	choice := c.ask(v, f)
+	if !c.entry.wantsShift(v, choice) {
+		return c.settleChoice(v, choice)
+	}
+	c.entry.requestCredits(c.ctx, v, c.request)
+	return c.settleChoice(v, c.ask(v, f))
+}
+
+func (c *reception) ask(v *shview.View, f shrequest.Choose) shrouting.Choice {
+	s := c.entry.snapshot(v, c.request.Service, c.bytes())
+	return c.entry.Policy.Choose(&s, shrouting.Request{
+		ID: c.request.ID, Kind: c.request.Operation, Remaining: time.Until(c.request.Deadline),
+		Bytes: c.bytes(), Tried: f.Tried,
+	})
+}
+
+func (c *reception) bytes() int64 { return c.request.RequestBytes + expectedAnswerBytes }
+
+// settleChoice takes the credit of a shift, and turns a wait into a run on this
+// VM if the queue of this VM can serve it.
+func (c *reception) settleChoice(v *shview.View, choice shrouting.Choice) shrouting.Choice {
+	switch x := choice.(type) {
+	case shrouting.Shift:
+		if !c.entry.Credits.Use(c.request.Service, x.VM, x.Credit) {
+			return shrouting.Wait{Expected: noOwnerPause}
+		}
+	case shrouting.Wait:
+		if c.entry.snapshot(v, c.request.Service, 0).Own.Usable > 0 {
+			return shrouting.ServeOwn{}
+		}
+		return shrouting.Wait{Expected: max(x.Expected, noOwnerPause)}
+	}
+	return choice
+}
+
+// wantsShift reports whether credits of another region could improve a choice.
+func (e *Entry) wantsShift(v *shview.View, choice shrouting.Choice) bool {
+	if !e.mayLeaveRegion(v) {
+		return false
+	}
+	switch choice.(type) {
+	case shrouting.Refuse:
+		return true
+	case shrouting.Wait:
+		return v.Config.Config.Objective == shconfig.Latency
+	}
+	return false
+}
+
+// mayLeaveRegion reports whether shifts are allowed at all. An unconfirmed
+// configuration may have a cap that was lowered since.
+func (e *Entry) mayLeaveRegion(v *shview.View) bool { return v.Confirmed(time.Now()) }
+
+// requestCredits asks the nearest owners in other regions and waits for the
+// first answers, for a round trip at most.
+func (e *Entry) requestCredits(ctx context.Context, v *shview.View, r shrequest.Request) {
+	owners := e.remoteOwners(v, r.Service)
+	owners = owners[:min(len(owners), askedOwners)]
+	var answers []<-chan struct{}
+	longest := time.Duration(0)
+	for _, h := range owners {
+		e.Links.Want(h.Place.Region, r.RequestBytes)
+		answers = append(answers, e.Credits.Request(ctx, r.Service, h))
+		longest = max(longest, e.roundTrip(v, h.Place.Region))
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(2*longest+askInterval, time.Until(r.Deadline)/2))
+	defer cancel()
+	for _, a := range answers {
+		select {
+		case <-a:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// remoteOwners lists VMs of other regions that own slots of a service, the
+// nearest region first.
+func (e *Entry) remoteOwners(v *shview.View, name shmodel.Service) []shdirectory.Heartbeat {
+	var owners []shdirectory.Heartbeat
+	for _, h := range lookup(v, e.Place.Region, string(e.VM), name) {
+		if h.Place.Region != e.Place.Region && h.Services[name].Total > 0 {
+			owners = append(owners, h)
+		}
+	}
+	return owners
+}
+
+func (e *Entry) roundTrip(v *shview.View, to shmodel.Region) time.Duration {
+	return time.Duration(2 * v.LatencyMS(e.Place.Region)[to] * float64(time.Millisecond))
+}
+
+// snapshot collects what a policy needs.
+func (e *Entry) snapshot(v *shview.View, name shmodel.Service, bytes int64) shrouting.Snapshot {
+	s := e.Slots.Snapshot(shrouting.Own{VM: e.VM, Place: e.Place}, name)
+	s.Objective = v.Config.Config.Objective
+	inner := v.Config.Config.Regions[e.Place.Region].InnerLatencyMS
+	s.InnerRoundTrip = time.Duration(2 * inner * float64(time.Millisecond))
+	if !e.mayLeaveRegion(v) {
+		return s
+	}
+	for _, h := range e.remoteOwners(v, name) {
+		id, left := e.Credits.Valid(name, h.VM)
+		var free int64
+		if e.Links.Free(h.Place.Region, bytes) {
+			free = bytes
+		}
+		s.Regions = append(s.Regions, shrouting.Remote{
+			VM: h.VM, Address: h.ServerAddress, Place: h.Place, Credits: left, Credit: id,
+			LinkFreeBytes: free, RoundTrip: e.roundTrip(v, h.Place.Region), Healthy: true,
+		})
+	}
+	return s
+}
+
+// spend takes a retry or hedge from its budget.
+func (e *Entry) spend(f shrequest.Choose) bool {
+	if !f.Retry && !f.Hedge {
+		return true
+	}
+	b := &e.budgets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if f.Hedge {
+		return b.hedge.Spend(time.Now())
+	}
+	return b.retry.Spend(time.Now())
+}
+
+// countRequest adds a request to the traffic that budgets are a share of.
+func (e *Entry) countRequest(l shconfig.Limits) {
+	b := &e.budgets
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.retry.Share, b.hedge.Share = l.RetryShare, l.HedgeShare
+	b.retry.Request(now)
+	b.hedge.Request(now)
+}
+
+// hedging estimates the 95th percentile of answer times per service.
+type hedging struct {
+	mu    sync.Mutex
+	slow  map[shmodel.Service]time.Duration
+	count map[shmodel.Service]int
+}
+
+const (
+	// slowQuantile is the share of answers that are faster than the estimate.
+	slowQuantile = 0.95
+	// slowStep is the relative step of the estimate per answer.
+	slowStep = 0.05
+	// minHedgeSamples avoids hedging on an estimate without data.
+	minHedgeSamples = 100
+)
+
+// observe moves the estimate up after a slower answer and down, by less, after
+// a faster one; it settles where the shares balance.
+func (h *hedging) observe(name shmodel.Service, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.slow == nil {
+		h.slow = map[shmodel.Service]time.Duration{}
+		h.count = map[shmodel.Service]int{}
+	}
+	h.count[name]++
+	estimate := float64(h.slow[name])
+	switch {
+	case estimate == 0:
+		estimate = float64(d)
+	case float64(d) > estimate:
+		estimate += estimate * slowStep * slowQuantile
+	default:
+		estimate -= estimate * slowStep * (1 - slowQuantile)
+	}
+	h.slow[name] = time.Duration(estimate)
+}
+
+// after returns when a second copy of an idempotent request is due, or zero.
+func (h *hedging) after(name shmodel.Service) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.count[name] < minHedgeSamples {
+		return 0
+	}
+	return h.slow[name]
+}
--- a/transport/shentry/dispatch.go
+++ b/transport/shentry/dispatch.go
@@ -175,13 +175,16 @@
 	return r.ReadCloser.Close()
 }
 
-// Cancel asks a backend server to cancel an attempt.
-func (d *Dispatcher) Cancel(ctx context.Context, address string, id shmodel.RequestID, attempt uint32) (shwire.CancelStatus, error) {
+// Cancel asks a backend server to cancel an attempt. A backend server with
+// another incarnation has forgotten the attempt and answers CancelUnknown.
+func (d *Dispatcher) Cancel(ctx context.Context, address string, incarnation uint64, id shmodel.RequestID, attempt uint32) (shwire.CancelStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	uri := shwire.PathRequests + "/" + id.String() + "/" + strconv.FormatUint(uint64(attempt), 10)
+	header := http.Header{}
+	header.Set(shwire.HeaderIncarnation, strconv.FormatUint(incarnation, 10))
 	in, fault := d.Send(ctx, Outgoing{
-		Address: address, Method: http.MethodDelete, URI: uri, Header: http.Header{},
+		Address: address, Method: http.MethodDelete, URI: uri, Header: header,
 		RequestID: id, FirstByte: cancelTimeout, Fresh: true,
 	})
 	if fault != "" {
--- /dev/null
+++ b/transport/shentry/executor.go
@@ -0,0 +1,305 @@
+package shentry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/coordination/shrequest"
+	"sequoiahollow/coordination/shslot"
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+)
+
+// eventBuffer holds the events of one machine. A machine has few effects in
+// progress at a time.
+const eventBuffer = 16
+
+// closeTimeout bounds commands that close a claim after the request's deadline.
+const closeTimeout = 15 * time.Second
+
+// onceOnlyGrace is how long an answer of once-only work is waited for after the
+// deadline of its caller.
+const onceOnlyGrace = 30 * time.Second
+
+// mailbox carries the events of one machine until its goroutine ends.
+type mailbox struct {
+	events chan shrequest.Event
+	done   chan struct{}
+}
+
+func newMailbox() mailbox {
+	return mailbox{events: make(chan shrequest.Event, eventBuffer), done: make(chan struct{})}
+}
+
+// post delivers an event unless the goroutine has ended.
+func (m mailbox) post(e shrequest.Event) {
+	select {
+	case m.events <- e:
+	case <-m.done:
+	}
+}
+
+// payload is what is sent to a backend server beside the decisions.
+type payload struct {
+	method string
+	uri    string
+	header http.Header
+	body   []byte
+}
+
+// execution runs one shrequest.Executor.
+type execution struct {
+	entry   *Entry
+	request shrequest.Request
+	payload payload
+	machine *shrequest.Executor
+	mailbox mailbox
+	mu      sync.Mutex
+	ended   bool
+	slots   map[shslot.ReservationID]*Slot
+	// report receives the one Execution.
+	report func(shrequest.Execution)
+	// stream passes on an answer that is longer than the buffer.
+	stream func(Incoming) (int64, error)
+	cancel context.CancelFunc
+}
+
+// start makes the machine and runs it until it is done.
+func (x *execution) start(ctx context.Context, o shrequest.ExecutorOptions) {
+	var first []shrequest.Effect
+	x.machine, first = shrequest.NewExecutor(time.Now(), o)
+	x.mailbox = newMailbox()
+	x.slots = map[shslot.ReservationID]*Slot{}
+	ctx, x.cancel = context.WithCancel(ctx)
+	x.entry.background.Go(func() {
+		defer x.end()
+		x.carryOut(ctx, first)
+		for !x.machine.Finished() {
+			e := <-x.mailbox.events
+			x.carryOut(ctx, x.machine.Apply(time.Now(), e))
+		}
+	})
+}
+
+func (x *execution) carryOut(ctx context.Context, effects []shrequest.Effect) {
+	for _, effect := range effects {
+		switch f := effect.(type) {
+		case shrequest.Reserve:
+			x.reserve(ctx, f.Want)
+		case shrequest.Dispatch:
+			go x.dispatch(ctx, f)
+		case shrequest.CancelAtBackend:
+			go x.cancelAtBackend(f)
+		case shrequest.AskControl:
+			go x.entry.askControl(f.Command, x.request, x.mailbox)
+		case shrequest.WriteRecord:
+			x.entry.writeRecord(f, x.mailbox)
+		case shrequest.StartTimer:
+			startTimer(f, x.mailbox)
+		case shrequest.Release:
+			x.release(f.ID, f.Result)
+		case shrequest.Report:
+			x.report(f.Execution)
+		}
+	}
+}
+
+func (x *execution) reserve(ctx context.Context, w shslot.Want) {
+	want := Want{
+		Service: w.Service, RequestID: w.RequestID, Kind: x.request.Operation, Digest: w.Digest,
+		Deadline: x.request.Deadline, Credit: w.Credit, Exclude: w.Exclude,
+	}
+	if w.Class == shslot.Solo {
+		l := x.entry.Slots.ReserveSolo(want, func() { x.mailbox.post(shrequest.SoloReady{}) })
+		go x.reserved(l)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
+		defer cancel()
+		l, _ := x.entry.Slots.Acquire(ctx, want)
+		x.reserved(l)
+	}()
+}
+
+// reserved notes a slot, nil if there was none, and tells the machine.
+func (x *execution) reserved(l *Slot) {
+	if l == nil {
+		x.mailbox.post(shrequest.Reserved{})
+		return
+	}
+	if !x.keep(l) {
+		l.Release(shslot.NotDispatched, nil)
+		return
+	}
+	x.mailbox.post(shrequest.Reserved{Reservation: l.Reservation, OK: true})
+}
+
+// keep reports false if the machine is done.
+func (x *execution) keep(l *Slot) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ended {
+		return false
+	}
+	x.slots[l.ID] = l
+	return true
+}
+
+func (x *execution) slot(id shslot.ReservationID) *Slot {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.slots[id]
+}
+
+func (x *execution) release(id shslot.ReservationID, result shslot.Result) {
+	x.mu.Lock()
+	l := x.slots[id]
+	delete(x.slots, id)
+	x.mu.Unlock()
+	if l != nil {
+		l.Release(result, func(crashed bool) { x.mailbox.post(shrequest.Verdict{Crashed: crashed}) })
+	}
+}
+
+// end releases reservations that the machine left behind.
+func (x *execution) end() {
+	close(x.mailbox.done)
+	x.cancel()
+	x.mu.Lock()
+	x.ended = true
+	left := x.slots
+	x.slots = nil
+	x.mu.Unlock()
+	for _, l := range left {
+		l.Release(shslot.Abandoned, nil)
+	}
+}
+
+// dispatch sends the attempt to the backend server.
+func (x *execution) dispatch(ctx context.Context, d shrequest.Dispatch) {
+	result := x.send(ctx, d)
+	x.mailbox.post(shrequest.AttemptResult{Attempt: d.Attempt, Result: result})
+}
+
+func (x *execution) send(ctx context.Context, d shrequest.Dispatch) shrequest.Result {
+	l := x.slot(d.Reservation.ID)
+	header := x.payload.header.Clone()
+	header.Set(shwire.HeaderRequestID, x.request.ID.String())
+	header.Set(shwire.HeaderAttempt, strconv.FormatUint(uint64(d.Attempt), 10))
+	if !d.Deadline.IsZero() {
+		header.Set(shwire.HeaderDeadline, deadlineHeader(d.Deadline))
+	}
+	header.Set(shwire.HeaderIncarnation, strconv.FormatUint(d.Reservation.Incarnation, 10))
+	late := !d.NotAfter.IsZero() && time.Now().After(d.NotAfter)
+	if l == nil || late || !l.Dispatch() {
+		return shrequest.NotSent{}
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.sendUntil())
+	defer cancel()
+	in, fault := x.entry.backends.Send(ctx, Outgoing{
+		Address: d.Reservation.Address, Method: x.payload.method, URI: x.payload.uri, Header: header, Body: x.payload.body,
+		RequestID: x.request.ID, FirstByte: x.firstByte(), Fresh: d.NewConnection,
+	})
+	if fault != "" {
+		return resultOf(fault)
+	}
+	return x.complete(in)
+}
+
+// firstByte returns how long an attempt may wait for its answer. An idempotent
+// request keeps half of its time for a retry, since an open connection may have
+// gone silent.
+func (x *execution) firstByte() time.Duration {
+	left := time.Until(x.sendUntil())
+	if x.request.Operation == shmodel.Idempotent {
+		return left / 2
+	}
+	return left
+}
+
+// sendUntil returns when an attempt is given up. Once-only work that was sent
+// goes on after the deadline of its caller, so that a resend finds its answer.
+func (x *execution) sendUntil() time.Time {
+	if x.request.Operation == shmodel.OnceOnly {
+		return x.request.Deadline.Add(onceOnlyGrace)
+	}
+	return x.request.Deadline
+}
+
+// complete passes on a long answer before it reports the result.
+func (x *execution) complete(in Incoming) shrequest.Result {
+	answer := shcontrol.Answer{Status: in.Status, Header: passOn(in.Header), Body: in.Body}
+	if in.Rest == nil {
+		return shrequest.Complete{Answer: answer, Bytes: in.Length}
+	}
+	answer.Body, answer.Truncated = nil, true
+	n, err := x.stream(in)
+	if err != nil {
+		return shrequest.BrokenOff{}
+	}
+	return shrequest.Complete{Answer: answer, Bytes: n}
+}
+
+func resultOf(f Fault) shrequest.Result {
+	switch f {
+	case FaultRefused:
+		return shrequest.ConnectionRefused{}
+	case FaultShed:
+		return shrequest.Shed{}
+	case FaultTimeout:
+		return shrequest.FirstByteTimeout{}
+	case FaultMismatch:
+		return shrequest.IDMismatch{}
+	}
+	return shrequest.BrokenOff{}
+}
+
+func (x *execution) cancelAtBackend(c shrequest.CancelAtBackend) {
+	result := x.entry.cancelAttempt(c)
+	x.mailbox.post(shrequest.AttemptResult{Attempt: c.Attempt, Result: result})
+}
+
+func (e *Entry) cancelAttempt(c shrequest.CancelAtBackend) shrequest.Result {
+	status, err := e.backends.Cancel(context.Background(), c.Address, c.Incarnation, c.RequestID, c.Attempt)
+	if err != nil {
+		return shrequest.CancelFailed{}
+	}
+	switch status {
+	case shwire.CancelNotRun:
+		return shrequest.CancelNotRun{}
+	case shwire.CancelRunning:
+		return shrequest.CancelRunning{}
+	case shwire.CancelDone:
+		return shrequest.CancelDone{}
+	}
+	return shrequest.CancelFailed{}
+}
+
+// askControl proposes a command and posts its result.
+func (e *Entry) askControl(c shcontrol.Command, r shrequest.Request, m mailbox) {
+	deadline := time.Now().Add(closeTimeout)
+	switch c.(type) {
+	case shcontrol.OpenClaim, shcontrol.OpenSolo:
+		// Without a claim before the deadline there is nothing to run.
+		deadline = r.Deadline
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	result, err := e.Control(ctx, c)
+	if err != nil {
+		e.Log.Warn("command got no result", "command", fmt.Sprintf("%T", c), "requestId", r.ID, "error", err)
+		m.post(shrequest.ControlResult{Command: c})
+		return
+	}
+	m.post(shrequest.ControlResult{Command: c, Result: result})
+}
+
+func startTimer(t shrequest.StartTimer, m mailbox) {
+	time.AfterFunc(t.After, func() { m.post(shrequest.TimerFired{ID: t.ID}) })
+}
--- /dev/null
+++ b/transport/shentry/forward.go
@@ -0,0 +1,277 @@
+package shentry
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sequoiahollow/coordination/shrequest"
+	"sequoiahollow/coordination/shslot"
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+)
+
+// Headers between entry VMs. Their values are base64 of JSON.
+const (
+	headerForward   = "Sequoiahollow-Forward"
+	headerExecution = "Sequoiahollow-Execution"
+)
+
+// forwardGrace lets the report of an Executor at the deadline arrive.
+const forwardGrace = 100 * time.Millisecond
+
+// forwarded describes a forwarded attempt. LeftMS replaces the deadline, since
+// the clocks of two VMs differ.
+type forwarded struct {
+	Request shrequest.Request       `json:"request"`
+	Attempt uint32                  `json:"attempt"`
+	Credit  uint64                  `json:"credit,omitempty"`
+	Solo    bool                    `json:"solo,omitempty"`
+	Exclude []shmodel.BackendServer `json:"exclude,omitempty"`
+	From    shmodel.Region          `json:"from"`
+	URI     string                  `json:"uri"`
+	LeftMS  int64                   `json:"leftMs"`
+}
+
+func encodeHeader(v any) (string, error) {
+	data, err := json.Marshal(v)
+	return base64.StdEncoding.EncodeToString(data), err
+}
+
+func decodeHeader(text string, v any) error {
+	data, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, v)
+}
+
+// forward hands an attempt to another entry VM.
+func (c *reception) forward(f shrequest.Forward) {
+	e := c.entry
+	var region shmodel.Region
+	if f.Credit != 0 {
+		region = e.regionOf(f.VM)
+	}
+	ended := func(refused, healthy bool) {}
+	if f.Credit == 0 {
+		ended = e.Slots.BeginForward(c.request.Service, f.VM)
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.ctx), c.request.Deadline.Add(forwardGrace))
+	defer cancel()
+	c.mu.Lock()
+	c.executions[f.Attempt] = func(shrequest.Event) { cancel() }
+	c.mu.Unlock()
+	result := c.sendForward(ctx, f, region)
+	x, whole := result.(shrequest.Executed)
+	ended(whole && x.Execution.Reason == shrequest.ReasonNoCapacity, whole)
+	c.mailbox.post(shrequest.AttemptResult{Attempt: f.Attempt, Result: result})
+}
+
+func (e *Entry) regionOf(vm shmodel.VM) shmodel.Region {
+	for _, h := range e.View().Entries {
+		if h.VM == vm {
+			return h.Place.Region
+		}
+	}
+	return ""
+}
+
+func (c *reception) sendForward(ctx context.Context, f shrequest.Forward, region shmodel.Region) shrequest.Result {
+	e := c.entry
+	description, err := encodeHeader(forwarded{
+		Request: c.request, Attempt: f.Attempt, Credit: f.Credit, Solo: f.Solo, Exclude: f.Exclude,
+		From: e.Place.Region, URI: c.payload.uri, LeftMS: time.Until(c.request.Deadline).Milliseconds(),
+	})
+	if err != nil {
+		return shrequest.NotSent{}
+	}
+	if region != "" {
+		if err := e.Links.Pace(ctx, region, int64(len(c.payload.body))+forwardOverhead); err != nil {
+			return shrequest.NotSent{}
+		}
+	}
+	header := c.payload.header.Clone()
+	header.Set(headerForward, description)
+	in, fault := e.peers.Send(ctx, Outgoing{
+		Address: f.Address, Method: http.MethodPost, URI: shwire.PathForward, Header: header, Body: c.payload.body,
+		RequestID: c.request.ID, FirstByte: time.Until(c.request.Deadline) + forwardGrace,
+		Fresh: c.request.Operation == shmodel.OnceOnly,
+	})
+	if fault != "" {
+		return resultOf(fault)
+	}
+	return c.receiveForward(f.Attempt, in)
+}
+
+// receiveForward turns the answer of another entry VM into a result.
+func (c *reception) receiveForward(attempt uint32, in Incoming) shrequest.Result {
+	var x shrequest.Execution
+	if err := decodeHeader(in.Header.Get(headerExecution), &x); err != nil {
+		if in.Rest != nil {
+			_ = in.Rest.Close()
+		}
+		c.entry.Log.Warn("answer of another entry VM is malformed", "requestId", c.request.ID, "status", in.Status, "error", err)
+		return shrequest.BrokenOff{}
+	}
+	if x.Outcome != shmodel.Answered {
+		return shrequest.Executed{Execution: x}
+	}
+	in.Header.Del(headerExecution)
+	x.Answer.Status = in.Status
+	x.Answer.Header = passOn(in.Header)
+	if in.Rest == nil {
+		x.Answer.Body = in.Body
+		x.Bytes = in.Length
+		return shrequest.Executed{Execution: x}
+	}
+	n, err := c.offerStream(attempt, in)
+	if err != nil {
+		return shrequest.BrokenOff{}
+	}
+	x.Bytes = n
+	return shrequest.Executed{Execution: x}
+}
+
+// handleForward executes an attempt for another entry VM.
+func (e *Entry) handleForward(w http.ResponseWriter, r *http.Request) {
+	f, err := readForward(r)
+	if err != nil {
+		WriteProblem(w, problemOf(http.StatusBadRequest, "malformed forward", err.Error(), 0, ""), 0)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardBody))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header := passOn(r.Header)
+	header.Del(headerForward)
+	h := &hosting{entry: e, forwarded: f, writer: w, result: make(chan shrequest.Execution, 1), streams: make(chan *pendingStream)}
+	h.serve(r.Context(), payload{method: f.Request.Method, uri: f.URI, header: header, body: body})
+}
+
+// maxForwardBody is the largest body that the configuration permits.
+const maxForwardBody = 64 << 20
+
+func readForward(r *http.Request) (forwarded, error) {
+	var f forwarded
+	if err := decodeHeader(r.Header.Get(headerForward), &f); err != nil {
+		return f, err
+	}
+	if f.Request.ID == 0 || f.Attempt == 0 || f.LeftMS <= 0 {
+		return f, errors.New("request ID, attempt and time left are needed")
+	}
+	f.Request.Deadline = time.Now().Add(time.Duration(f.LeftMS) * time.Millisecond)
+	return f, nil
+}
+
+// hosting executes one forwarded attempt and answers the other entry VM.
+type hosting struct {
+	entry     *Entry
+	forwarded forwarded
+	writer    http.ResponseWriter
+	result    chan shrequest.Execution
+	streams   chan *pendingStream
+}
+
+func (h *hosting) serve(ctx context.Context, p payload) {
+	f := h.forwarded
+	class := shslot.Local
+	switch {
+	case f.Solo:
+		class = shslot.Solo
+	case f.From != h.entry.Place.Region:
+		class = shslot.Remote
+	}
+	over := make(chan struct{})
+	defer close(over)
+	x := &execution{
+		entry: h.entry, request: f.Request, payload: p,
+		report: func(r shrequest.Execution) { h.result <- r },
+		stream: func(in Incoming) (int64, error) { return h.offer(over, in) },
+	}
+	x.start(context.WithoutCancel(ctx), shrequest.ExecutorOptions{
+		Request: f.Request, Attempt: f.Attempt, VM: h.entry.VM, Class: class,
+		Credit: shslot.CreditID(f.Credit), Exclude: f.Exclude, ClockError: clockError(h.entry.View()),
+	})
+	stop := context.AfterFunc(ctx, func() { x.mailbox.post(shrequest.CallerGone{}) })
+	defer stop()
+	select {
+	case r := <-h.result:
+		h.answer(ctx, r)
+	case s := <-h.streams:
+		h.stream(ctx, s)
+	}
+}
+
+func (h *hosting) offer(over <-chan struct{}, in Incoming) (int64, error) {
+	defer func() { _ = in.Rest.Close() }()
+	s := &pendingStream{in: in, done: make(chan error, 1)}
+	select {
+	case h.streams <- s:
+		err := <-s.done
+		return s.n, err
+	case <-over:
+		return 0, errNotStreamed
+	}
+}
+
+// pace returns the pacer of the answer, or nil within the region.
+func (h *hosting) pace(ctx context.Context) func(int) error {
+	to := h.forwarded.From
+	if to == h.entry.Place.Region {
+		return nil
+	}
+	return func(n int) error { return h.entry.Links.Pace(ctx, to, int64(n)) }
+}
+
+func (h *hosting) answer(ctx context.Context, r shrequest.Execution) {
+	answer := r.Answer
+	r.Answer.Header, r.Answer.Body = nil, nil
+	if answer.Status == 0 {
+		answer.Status = http.StatusOK
+	}
+	in := Incoming{Status: answer.Status, Header: answer.Header, Body: answer.Body, Length: int64(len(answer.Body))}
+	if _, err := h.send(ctx, r, in); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// stream passes a long answer on while it arrives.
+func (h *hosting) stream(ctx context.Context, s *pendingStream) {
+	x := shrequest.Execution{Outcome: shmodel.Answered, Dispatched: true}
+	n, err := h.send(ctx, x, s.in)
+	s.n = n
+	s.done <- err
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (h *hosting) send(ctx context.Context, r shrequest.Execution, in Incoming) (int64, error) {
+	text, err := encodeHeader(r)
+	if err != nil {
+		return 0, fmt.Errorf("execution: %w", err)
+	}
+	if in.Header == nil {
+		in.Header = http.Header{}
+	}
+	in.Header = in.Header.Clone()
+	in.Header.Set(headerExecution, text)
+	pace := h.pace(ctx)
+	if pace != nil {
+		if err := pace(forwardOverhead); err != nil {
+			return 0, err
+		}
+	}
+	return copyAnswer(h.writer, in, h.forwarded.Request.ID, r.Outcome, pace)
+}
+
+// deadlineHeader formats an absolute deadline in Unix milliseconds.
+func deadlineHeader(t time.Time) string { return strconv.FormatInt(t.UnixMilli(), 10) }
--- a/transport/shentry/http.go
+++ b/transport/shentry/http.go
@@ -94,10 +94,10 @@
 	return c
 }
 
-// copyAnswer sends an answer to the caller. An answer that breaks off aborts
-// the connection, so that the caller never takes it for a whole one. It
-// returns the number of body bytes sent.
-func copyAnswer(w http.ResponseWriter, in Incoming, id shmodel.RequestID, outcome shmodel.Outcome, pace func(int) error) int64 {
+// copyAnswer sends an answer and returns the number of body bytes sent. After
+// an error the caller must abort the connection, so that the receiver never
+// takes a part for the whole.
+func copyAnswer(w http.ResponseWriter, in Incoming, id shmodel.RequestID, outcome shmodel.Outcome, pace func(int) error) (int64, error) {
 	h := w.Header()
 	for name, values := range passOn(in.Header) {
 		h[name] = values
@@ -110,15 +110,10 @@
 	w.WriteHeader(in.Status)
 	sent, err := writePaced(w, in.Body, pace)
 	if err != nil || in.Rest == nil {
-		return sent
+		return sent, err
 	}
-	defer func() { _ = in.Rest.Close() }()
 	more, err := copyPaced(w, in.Rest, pace)
-	sent += more
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	return sent
+	return sent + more, err
 }
 
 func decodeCancel(body []byte) (shwire.CancelStatus, error) {
@@ -127,7 +122,7 @@
 		return "", fmt.Errorf("cancellation answer: %w", err)
 	}
 	switch a.Status {
-	case shwire.CancelNotRun, shwire.CancelRunning, shwire.CancelDone:
+	case shwire.CancelNotRun, shwire.CancelRunning, shwire.CancelDone, shwire.CancelUnknown:
 		return a.Status, nil
 	}
 	return "", fmt.Errorf("cancellation answer: unknown status %q", a.Status)
--- /dev/null
+++ b/transport/shentry/links.go
@@ -0,0 +1,188 @@
+package shentry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/coordination/shlimit"
+	"sequoiahollow/state/shmodel"
+)
+
+const (
+	askInterval = 50 * time.Millisecond
+	// paceRetry bounds how long a transfer waits before it looks again for a
+	// grant.
+	paceRetry = 20 * time.Millisecond
+	// forwardOverhead is added for the HTTP headers of a forwarded message.
+	forwardOverhead = 1 << 10
+	// frameShare adds the share of TCP and IP headers, 1/16 of the payload.
+	frameShare = 16
+)
+
+var errNoGrant = errors.New("no grant for the link")
+
+// Links paces what this VM sends to other regions within its grants.
+type Links struct {
+	VM     shmodel.VM
+	Region shmodel.Region
+	// Propose asks the replicated state for a grant.
+	Propose func(context.Context, shcontrol.RequestGrant) (shcontrol.GrantResult, error)
+	// Permitted reports whether shifts are allowed at all.
+	Permitted func() bool
+	Log       *slog.Logger
+
+	mu      sync.Mutex
+	holders map[shmodel.Region]*shlimit.GrantHolder
+	asking  map[shmodel.Region]bool
+}
+
+func (l *Links) holder(to shmodel.Region) *shlimit.GrantHolder {
+	if l.holders == nil {
+		l.holders = map[shmodel.Region]*shlimit.GrantHolder{}
+		l.asking = map[shmodel.Region]bool{}
+	}
+	h := l.holders[to]
+	if h == nil {
+		h = &shlimit.GrantHolder{VM: l.VM, From: l.Region, To: to}
+		l.holders[to] = h
+	}
+	return h
+}
+
+// Run asks for grants while there is demand, until the context ends.
+func (l *Links) Run(ctx context.Context) {
+	t := time.NewTicker(askInterval)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			l.ask(ctx, now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Links) ask(ctx context.Context, now time.Time) {
+	if !l.Permitted() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for to, h := range l.holders {
+		if l.asking[to] {
+			continue
+		}
+		if a, ok := h.Ask(now); ok {
+			l.asking[to] = true
+			go l.request(ctx, to, a)
+		}
+	}
+}
+
+func (l *Links) request(ctx context.Context, to shmodel.Region, a shlimit.Ask) {
+	ctx, cancel := context.WithTimeout(ctx, shcontrol.GrantDuration)
+	defer cancel()
+	result, err := l.Propose(ctx, a.Command)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asking[to] = false
+	if err != nil {
+		l.Log.Warn("no grant for a link", "to", to, "error", err)
+		l.holder(to).Failed(time.Now())
+		return
+	}
+	l.holder(to).Granted(time.Now(), a, result)
+}
+
+// wireBytes estimates what a payload takes on the link.
+func wireBytes(n int64) int64 { return n + n/frameShare }
+
+// Want announces a transfer of n payload bytes to a region.
+func (l *Links) Want(to shmodel.Region, n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holder(to).Want(time.Now(), wireBytes(n)+forwardOverhead)
+}
+
+// Free reports whether n payload bytes may be sent to a region now.
+func (l *Links) Free(to shmodel.Region, n int64) bool {
+	if !l.Permitted() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wait, ok := l.holder(to).Wait(time.Now(), wireBytes(n)+forwardOverhead)
+	return ok && wait <= 0
+}
+
+// TryTake takes n payload bytes of the grant for a region if they may be sent
+// now. Otherwise it takes nothing and asks for a grant.
+func (l *Links) TryTake(to shmodel.Region, n int64) bool {
+	if !l.Permitted() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.holder(to)
+	now := time.Now()
+	h.Want(now, wireBytes(n))
+	wait, ok := h.Wait(now, wireBytes(n))
+	if !ok || wait > 0 {
+		return false
+	}
+	return h.Take(now, wireBytes(n)) > 0
+}
+
+// BitsPerSecond returns the sum of valid grants by region.
+func (l *Links) BitsPerSecond() map[shmodel.Region]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	rates := map[shmodel.Region]int64{}
+	for to, h := range l.holders {
+		rates[to] = h.BitsPerSecond(time.Now())
+	}
+	return rates
+}
+
+// Pace waits until n payload bytes may be sent to a region.
+func (l *Links) Pace(ctx context.Context, to shmodel.Region, n int64) error {
+	left := wireBytes(n)
+	for left > 0 {
+		wait, err := l.take(to, &left)
+		if err != nil {
+			return err
+		}
+		if left == 0 {
+			return nil
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return errors.Join(errNoGrant, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// take takes what is permitted now and returns how long to wait for the rest.
+func (l *Links) take(to shmodel.Region, left *int64) (time.Duration, error) {
+	if !l.Permitted() {
+		return 0, errNoGrant
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.holder(to)
+	*left -= h.Take(time.Now(), *left)
+	wait, ok := h.Wait(time.Now(), *left)
+	if !ok {
+		return paceRetry, nil
+	}
+	return min(max(wait, time.Millisecond), paceRetry), nil
+}
--- /dev/null
+++ b/transport/shentry/receiver.go
@@ -0,0 +1,309 @@
+package shentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"sequoiahollow/coordination/shrequest"
+	"sequoiahollow/coordination/shslot"
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+	"sequoiahollow/transport/shaccount"
+)
+
+var errNotStreamed = errors.New("the answer was not passed on")
+
+// reception runs one shrequest.Receiver in the goroutine of the HTTP handler.
+type reception struct {
+	entry   *Entry
+	request shrequest.Request
+	payload payload
+	machine *shrequest.Receiver
+	mailbox mailbox
+	writer  http.ResponseWriter
+	ctx     context.Context
+	start   time.Time
+
+	mu         sync.Mutex
+	executions map[uint32]func(shrequest.Event)
+	streams    map[uint32]*pendingStream
+	streamed   bool
+	answered   bool
+	aborted    bool
+	// status and answerBytes describe what the caller got.
+	status      int
+	answerBytes int64
+}
+
+// pendingStream is an answer longer than the buffer that waits to be passed on.
+type pendingStream struct {
+	in   Incoming
+	done chan error
+	n    int64
+}
+
+// run carries out the machine until the caller has an answer. Work that remains
+// goes on in the background.
+func (c *reception) run(first []shrequest.Effect) {
+	gone := context.AfterFunc(c.ctx, func() { c.mailbox.post(shrequest.CallerGone{}) })
+	defer gone()
+	c.carryOut(first)
+	for !c.answered && !c.machine.Finished() {
+		c.carryOut(c.machine.Apply(time.Now(), <-c.mailbox.events))
+	}
+	if c.machine.Finished() {
+		c.end()
+	} else {
+		c.entry.background.Go(c.finish)
+	}
+	if c.aborted {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// finish runs what is left after the caller has its answer.
+func (c *reception) finish() {
+	defer c.end()
+	for !c.machine.Finished() {
+		c.carryOut(c.machine.Apply(time.Now(), <-c.mailbox.events))
+	}
+}
+
+func (c *reception) end() {
+	close(c.mailbox.done)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.streams {
+		s.done <- errNotStreamed
+	}
+	c.streams = nil
+}
+
+func (c *reception) carryOut(effects []shrequest.Effect) {
+	for _, effect := range effects {
+		switch f := effect.(type) {
+		case shrequest.WriteRecord:
+			c.entry.writeRecord(c.completeRecord(f), c.mailbox)
+		case shrequest.Choose:
+			go c.choose(f)
+		case shrequest.Execute:
+			c.execute(f)
+		case shrequest.Forward:
+			go c.forward(f)
+		case shrequest.CancelAttempt:
+			c.cancelAttempt(f.Attempt)
+		case shrequest.CancelAtBackend:
+			go func() {
+				result := c.entry.cancelAttempt(f)
+				c.mailbox.post(shrequest.AttemptResult{Attempt: f.Attempt, Result: result})
+			}()
+		case shrequest.AskControl:
+			go c.entry.askControl(f.Command, c.request, c.mailbox)
+		case shrequest.StartTimer:
+			startTimer(f, c.mailbox)
+		case shrequest.StreamAnswer:
+			c.streamAnswer(f.Attempt)
+		case shrequest.AnswerCaller:
+			c.answer(f)
+		case shrequest.RefuseCaller:
+			c.refuse(f)
+		case shrequest.AbortCaller:
+			c.answered, c.aborted = true, true
+		}
+	}
+}
+
+// completeRecord adds what only the shell knows.
+func (c *reception) completeRecord(w shrequest.WriteRecord) shrequest.WriteRecord {
+	r := &w.Record
+	r.FromRegion = c.entry.Place.Region
+	if r.Kind == shrecord.Closed || r.Kind == shrecord.Refused {
+		r.DurationUS = time.Since(c.start).Microseconds()
+		if r.Status == 0 {
+			r.Status = c.status
+		}
+		if r.AnswerBytes == 0 {
+			r.AnswerBytes = c.answerBytes
+		}
+		c.entry.Observe(*r)
+	}
+	return w
+}
+
+// execute starts an Executor on this VM.
+func (c *reception) execute(f shrequest.Execute) {
+	class := shslot.Local
+	if f.Solo {
+		class = shslot.Solo
+	}
+	x := &execution{
+		entry: c.entry, request: c.request, payload: c.payload,
+		report: func(r shrequest.Execution) { c.report(f.Attempt, shrequest.Executed{Execution: r}) },
+		stream: func(in Incoming) (int64, error) { return c.offerStream(f.Attempt, in) },
+	}
+	x.start(context.WithoutCancel(c.ctx), shrequest.ExecutorOptions{
+		Request: c.request, Attempt: f.Attempt, VM: c.entry.VM, Class: class, Exclude: f.Exclude,
+		ClockError: clockError(c.entry.View()),
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.executions[f.Attempt] = x.mailbox.post
+}
+
+func (c *reception) report(attempt uint32, result shrequest.Result) {
+	go c.mailbox.post(shrequest.AttemptResult{Attempt: attempt, Result: result})
+}
+
+func (c *reception) cancelAttempt(attempt uint32) {
+	c.mu.Lock()
+	post := c.executions[attempt]
+	c.mu.Unlock()
+	if post != nil {
+		go post(shrequest.CallerGone{})
+	}
+}
+
+// offerStream tells the machine of a long answer and waits until it was passed
+// on to the caller or dropped.
+func (c *reception) offerStream(attempt uint32, in Incoming) (int64, error) {
+	s := &pendingStream{in: in, done: make(chan error, 1)}
+	c.mu.Lock()
+	if c.streams == nil {
+		c.mu.Unlock()
+		_ = in.Rest.Close()
+		return 0, errNotStreamed
+	}
+	c.streams[attempt] = s
+	c.mu.Unlock()
+	c.mailbox.post(shrequest.AnswerStreaming{Attempt: attempt})
+	err := <-s.done
+	_ = in.Rest.Close()
+	return s.n, err
+}
+
+// streamAnswer passes a long answer on. It runs in the goroutine of the handler,
+// which may write to the caller.
+func (c *reception) streamAnswer(attempt uint32) {
+	c.mu.Lock()
+	s := c.streams[attempt]
+	delete(c.streams, attempt)
+	c.mu.Unlock()
+	if s == nil {
+		return
+	}
+	c.streamed = true
+	c.status = s.in.Status
+	n, err := copyAnswer(c.writer, s.in, c.request.ID, shmodel.Answered, nil)
+	s.n = n
+	c.answerBytes = n
+	s.done <- err
+}
+
+// answer ends the request with an answer, or with an unknown outcome.
+func (c *reception) answer(a shrequest.AnswerCaller) {
+	c.answered = true
+	if a.Streamed {
+		return
+	}
+	if a.Outcome != shmodel.Answered {
+		c.status = http.StatusBadGateway
+		if a.Reason == shrequest.ReasonInProgress || a.Reason == shrequest.ReasonDeadline {
+			c.status = http.StatusGatewayTimeout
+		}
+		WriteProblem(c.writer, problemOf(c.status, string(a.Reason), detailOf(a.Reason), c.request.ID, a.Outcome), time.Second)
+		return
+	}
+	if a.Replayed {
+		c.writer.Header().Set(shwire.HeaderReplayed, "true")
+	}
+	if a.Replayed && a.Answer.Truncated {
+		c.status = http.StatusOK
+		WriteProblem(c.writer, problemOf(http.StatusOK, "answer too large to record",
+			"the request was answered before; the recorded answer has no body", c.request.ID, a.Outcome), 0)
+		return
+	}
+	c.status = a.Answer.Status
+	in := Incoming{Status: a.Answer.Status, Header: a.Answer.Header, Body: a.Answer.Body, Length: int64(len(a.Answer.Body))}
+	n, err := copyAnswer(c.writer, in, c.request.ID, a.Outcome, nil)
+	c.answerBytes = n
+	if err != nil {
+		c.aborted = true
+	}
+}
+
+func (c *reception) refuse(f shrequest.RefuseCaller) {
+	c.answered = true
+	c.status = statusOf(f.Reason)
+	WriteProblem(c.writer, problemOf(c.status, string(f.Reason), detailOf(f.Reason), c.request.ID, shmodel.NotRun), f.RetryAfter)
+}
+
+// statusOf returns the HTTP status of a refusal.
+func statusOf(r shrequest.Reason) int {
+	switch r {
+	case shrequest.ReasonKeyConflict:
+		return http.StatusUnprocessableEntity
+	case shrequest.ReasonQuarantined, shrequest.ReasonSettled:
+		return http.StatusConflict
+	case shrequest.ReasonCallerGone, shrequest.ReasonCancelled:
+		return http.StatusRequestTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+func detailOf(r shrequest.Reason) string {
+	switch r {
+	case shrequest.ReasonKeyConflict:
+		return "the idempotency key was used with another request"
+	case shrequest.ReasonQuarantined:
+		return "the request crashed backend servers and is not run any more"
+	case shrequest.ReasonKeyUsed:
+		return "the idempotency key was used before the retention period of answers"
+	case shrequest.ReasonInProgress:
+		return "a request with the same idempotency key is in progress"
+	case shrequest.ReasonLostAnswer:
+		return "the request was sent and its answer was lost"
+	case shrequest.ReasonNoCapacity:
+		return "no slot of a backend server is expected before the deadline"
+	case shrequest.ReasonNoControl:
+		return "no quorum confirmed the claim before the deadline"
+	case shrequest.ReasonNoRecord:
+		return "the account cannot take the record of the request"
+	}
+	return ""
+}
+
+// writeRecord writes a record and posts what became of it if that is awaited.
+func (e *Entry) writeRecord(w shrequest.WriteRecord, m mailbox) {
+	w.Record.VM = e.VM
+	w.Record.At = time.Now()
+	if !w.Await {
+		e.append(w.Record, shaccount.Deferred)
+		return
+	}
+	level := shaccount.Copied
+	if w.Durable {
+		level = shaccount.Durable
+	}
+	e.background.Go(func() {
+		if err := e.append(w.Record, level); err != nil {
+			m.post(shrequest.RecordFailed{Kind: w.Record.Kind})
+			return
+		}
+		m.post(shrequest.RecordCopied{Kind: w.Record.Kind})
+	})
+}
+
+// append brings one record to a level.
+func (e *Entry) append(r shrecord.Record, level shaccount.Level) error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	err := e.Account.Write(ctx, []shrecord.Record{r}, level)
+	if err != nil {
+		e.Log.Warn("account record has not reached its level", "requestId", r.RequestID, "kind", r.Kind, "error", err)
+	}
+	return err
+}
--- /dev/null
+++ b/transport/shentry/slots.go
@@ -0,0 +1,435 @@
+package shentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sequoiahollow/coordination/shdirectory"
+	"sequoiahollow/coordination/shlimit"
+	"sequoiahollow/coordination/shrouting"
+	"sequoiahollow/coordination/shslot"
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+)
+
+// slotTick is the interval of shslot.Tick.
+const slotTick = 100 * time.Millisecond
+
+// Slots shares the table of backend servers of this VM between goroutines, and
+// queues requests that wait for a slot.
+type Slots struct {
+	mu       sync.Mutex
+	table    *shslot.Table
+	services map[shmodel.Service]*serviceSlots
+	solo     map[shmodel.RequestID]func()
+	// crashed commits the strikes of a suspected crash.
+	crashed func(shslot.CrashSuspected)
+	// verdicts are called when a broken connection is found to be a crash or
+	// not.
+	verdicts map[shmodel.BackendServer][]func(crashed bool)
+	// handedOver is closed when a stop has released the last backend server.
+	handedOver chan struct{}
+}
+
+// serviceSlots is the queue of one service and what its peers reported.
+type serviceSlots struct {
+	admission shlimit.Admission
+	running   int
+	waiters   map[shmodel.RequestID]chan shlimit.Effect
+	book      shrouting.Book
+	mean      meanTime
+}
+
+// NewSlots returns an empty table. Salt must differ between processes.
+func NewSlots(salt string, reserveShare float64, crashed func(shslot.CrashSuspected)) *Slots {
+	return &Slots{
+		table:      shslot.New(salt, reserveShare),
+		services:   map[shmodel.Service]*serviceSlots{},
+		solo:       map[shmodel.RequestID]func(){},
+		crashed:    crashed,
+		verdicts:   map[shmodel.BackendServer][]func(bool){},
+		handedOver: make(chan struct{}),
+	}
+}
+
+func (s *Slots) service(name shmodel.Service) *serviceSlots {
+	x := s.services[name]
+	if x == nil {
+		x = &serviceSlots{waiters: map[shmodel.RequestID]chan shlimit.Effect{}}
+		s.services[name] = x
+	}
+	return x
+}
+
+// Run lets time pass until the context ends.
+func (s *Slots) Run(ctx context.Context) {
+	t := time.NewTicker(slotTick)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			s.tick(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Slots) tick(now time.Time) {
+	s.mu.Lock()
+	s.effects(s.table.Apply(now, shslot.Tick{}))
+	for name, x := range s.services {
+		s.resize(now, name, x)
+		s.admit(x, x.admission.Handle(now, shlimit.Tick{}))
+	}
+	s.mu.Unlock()
+}
+
+// effects carries out what needs no answer. It is called with the lock.
+func (s *Slots) effects(effects []shslot.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case shslot.CrashSuspected:
+			verdicts := s.takeVerdicts(e.BackendServer)
+			go func() {
+				// The strikes come first, so that a retry or a resend after the
+				// verdict meets them at every entry VM.
+				s.crashed(e)
+				tell(verdicts, true)
+			}()
+		case shslot.BreakCleared:
+			go tell(s.takeVerdicts(e.BackendServer), false)
+		case shslot.SoloReady:
+			if ready := s.solo[e.RequestID]; ready != nil {
+				go ready()
+				delete(s.solo, e.RequestID)
+			}
+		case shslot.HandoverDone:
+			close(s.handedOver)
+		}
+	}
+}
+
+func (s *Slots) takeVerdicts(server shmodel.BackendServer) []func(bool) {
+	verdicts := s.verdicts[server]
+	delete(s.verdicts, server)
+	return verdicts
+}
+
+func tell(verdicts []func(bool), crashed bool) {
+	for _, verdict := range verdicts {
+		verdict(crashed)
+	}
+}
+
+// resize tells the queue of a service how many slots it may use: those that
+// are free and those that its started requests hold.
+func (s *Slots) resize(now time.Time, name shmodel.Service, x *serviceSlots) {
+	free := s.table.Load(now, name).Free
+	s.admit(x, x.admission.Handle(now, shlimit.Resize{Slots: free + x.running}))
+}
+
+// admit passes decisions of the queue to the requests that wait for them.
+func (s *Slots) admit(x *serviceSlots, effects []shlimit.Effect) {
+	for _, e := range effects {
+		var id shmodel.RequestID
+		switch e := e.(type) {
+		case shlimit.Start:
+			id = e.ID
+			x.running++
+		case shlimit.Refuse:
+			id = e.ID
+		}
+		if c := x.waiters[id]; c != nil {
+			delete(x.waiters, id)
+			c <- e
+		}
+	}
+}
+
+// Slot is a reserved slot. Release must be called once.
+type Slot struct {
+	shslot.Reservation
+	slots   *Slots
+	service shmodel.Service
+	request shmodel.RequestID
+	queued  bool
+	taken   time.Time
+}
+
+// Want describes a slot for one attempt.
+type Want struct {
+	Service   shmodel.Service
+	RequestID shmodel.RequestID
+	Kind      shmodel.OperationKind
+	Digest    shmodel.Digest
+	Deadline  time.Time
+	// Credit permits a request of another region; it does not wait.
+	Credit  shslot.CreditID
+	Exclude []shmodel.BackendServer
+}
+
+func (w Want) forTable(class shslot.Class) shslot.Want {
+	return shslot.Want{
+		Service: w.Service, Class: class, Credit: w.Credit,
+		RequestID: w.RequestID, Digest: w.Digest, Exclude: w.Exclude,
+	}
+}
+
+// Acquire waits in the queue of the service until a slot is reserved or the
+// request is refused. It returns nil and the refusal in the second case.
+func (s *Slots) Acquire(ctx context.Context, w Want) (*Slot, *shlimit.Refuse) {
+	if w.Credit != 0 {
+		return s.acquireRemote(w)
+	}
+	decision := make(chan shlimit.Effect, 1)
+	s.mu.Lock()
+	now := time.Now()
+	x := s.service(w.Service)
+	x.waiters[w.RequestID] = decision
+	s.resize(now, w.Service, x)
+	s.admit(x, x.admission.Handle(now, shlimit.Arrive{ID: w.RequestID, Kind: w.Kind, Deadline: w.Deadline}))
+	s.mu.Unlock()
+	select {
+	case e := <-decision:
+		return s.start(w, x, e)
+	case <-ctx.Done():
+		return s.abandon(w, x, decision)
+	}
+}
+
+func (s *Slots) start(w Want, x *serviceSlots, e shlimit.Effect) (*Slot, *shlimit.Refuse) {
+	if r, ok := e.(shlimit.Refuse); ok {
+		return nil, &r
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	r, ok := s.table.Reserve(now, w.forTable(shslot.Local))
+	if !ok {
+		// The slot went to a solo run, or a backend server left meanwhile.
+		s.finish(now, w.Service, x, w.RequestID)
+		return nil, &shlimit.Refuse{ID: w.RequestID, Reason: shlimit.TooLate}
+	}
+	return &Slot{Reservation: r, slots: s, service: w.Service, request: w.RequestID, queued: true, taken: now}, nil
+}
+
+// abandon leaves the queue. A start that was decided meanwhile is given back.
+func (s *Slots) abandon(w Want, x *serviceSlots, decision chan shlimit.Effect) (*Slot, *shlimit.Refuse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	select {
+	case e := <-decision:
+		if _, ok := e.(shlimit.Start); ok {
+			s.finish(now, w.Service, x, w.RequestID)
+		}
+	default:
+		delete(x.waiters, w.RequestID)
+		s.admit(x, x.admission.Handle(now, shlimit.Abandon{ID: w.RequestID}))
+	}
+	return nil, &shlimit.Refuse{ID: w.RequestID, Reason: shlimit.TooLate}
+}
+
+func (s *Slots) finish(now time.Time, name shmodel.Service, x *serviceSlots, id shmodel.RequestID) {
+	x.running--
+	s.admit(x, x.admission.Handle(now, shlimit.Finish{ID: id}))
+	s.resize(now, name, x)
+}
+
+func (s *Slots) acquireRemote(w Want) (*Slot, *shlimit.Refuse) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	r, ok := s.table.Reserve(now, w.forTable(shslot.Remote))
+	if !ok {
+		return nil, &shlimit.Refuse{ID: w.RequestID, Reason: shlimit.TooLate}
+	}
+	return &Slot{Reservation: r, slots: s, service: w.Service, request: w.RequestID, taken: now}, nil
+}
+
+// ReserveSolo takes all slots of an idle backend server. If there is none now,
+// it returns nil and calls ready once another try may succeed.
+func (s *Slots) ReserveSolo(w Want, ready func()) *Slot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	r, ok := s.table.Reserve(now, w.forTable(shslot.Solo))
+	if ok {
+		return &Slot{Reservation: r, slots: s, service: w.Service, request: w.RequestID, taken: now}
+	}
+	// The mark may belong to another solo run, whose end is not announced.
+	once := sync.OnceFunc(ready)
+	s.solo[w.RequestID] = once
+	time.AfterFunc(slotTick, once)
+	return nil
+}
+
+// CancelSolo withdraws the wait for a solo run.
+func (s *Slots) CancelSolo(id shmodel.RequestID) {
+	s.mu.Lock()
+	delete(s.solo, id)
+	s.effects(s.table.Apply(time.Now(), shslot.SoloCancelled{RequestID: id}))
+	s.mu.Unlock()
+}
+
+// Dispatch reports whether the request may be written now. It must be called
+// immediately before.
+func (l *Slot) Dispatch() bool {
+	l.slots.mu.Lock()
+	defer l.slots.mu.Unlock()
+	return l.slots.table.Dispatch(time.Now(), l.ID)
+}
+
+// Release ends the reservation. For a broken connection, verdict is called once
+// it is known whether the backend server died.
+func (l *Slot) Release(result shslot.Result, verdict func(crashed bool)) {
+	s := l.slots
+	s.mu.Lock()
+	if result == shslot.Broken && verdict != nil {
+		s.verdicts[l.BackendServer] = append(s.verdicts[l.BackendServer], verdict)
+	}
+	now := time.Now()
+	s.effects(s.table.Release(now, l.ID, result))
+	x := s.service(l.service)
+	if result == shslot.Completed {
+		x.mean.add(now.Sub(l.taken))
+	}
+	if l.queued {
+		s.finish(now, l.service, x, l.request)
+	} else {
+		s.resize(now, l.service, x)
+	}
+	s.mu.Unlock()
+}
+
+// Announce takes an announcement of a backend server. The problem is empty if
+// it was accepted.
+func (s *Slots) Announce(a shwire.Announcement) (shwire.AnnouncementAnswer, string) {
+	event := shslot.Announced{
+		BackendServer: a.BackendServer, Service: a.Service, Address: a.Address, Place: a.Place,
+		Incarnation: a.Incarnation, Slots: a.Slots, Connections: a.Connections,
+		InFlight: a.InFlight, Load: a.Load, Cold: a.Cold, Leaving: a.Leaving, Nonce: a.Nonce,
+	}
+	s.mu.Lock()
+	now := time.Now()
+	effects := s.table.Apply(now, event)
+	s.effects(effects)
+	s.resize(now, a.Service, s.service(a.Service))
+	s.mu.Unlock()
+	for _, e := range effects {
+		if e, ok := e.(shslot.AnswerAnnouncement); ok {
+			return shwire.AnnouncementAnswer{
+				Nonce: e.Nonce, LeaseMS: e.Lease.Milliseconds(), Released: e.Released, Owners: e.Owners,
+			}, e.Rejected
+		}
+	}
+	return shwire.AnnouncementAnswer{}, "no answer"
+}
+
+// Credit lends slots to a VM of another region.
+func (s *Slots) Credit(q shwire.CreditRequest) shwire.CreditResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	effects := s.table.Apply(time.Now(), shslot.CreditRequested{VM: q.VM, Service: q.Service, Count: q.Count})
+	for _, e := range effects {
+		if e, ok := e.(shslot.CreditGranted); ok {
+			return shwire.CreditResponse{ID: uint64(e.ID), Count: e.Count, Duration: e.Duration}
+		}
+	}
+	return shwire.CreditResponse{}
+}
+
+// BeginStop hands the backend servers to other owners. The channel is closed
+// when the last one is released.
+func (s *Slots) BeginStop(owners []string) <-chan struct{} {
+	s.mu.Lock()
+	s.effects(s.table.Apply(time.Now(), shslot.StopBegun{Owners: owners}))
+	s.mu.Unlock()
+	return s.handedOver
+}
+
+// SetReserveShare applies a changed configuration.
+func (s *Slots) SetReserveShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetReserveShare(share)
+}
+
+// Services returns the slots of each service that this VM owns.
+func (s *Slots) Services() map[shmodel.Service]shdirectory.Slots {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	services := map[shmodel.Service]shdirectory.Slots{}
+	for _, name := range s.table.Services() {
+		l := s.table.Load(now, name)
+		services[name] = shdirectory.Slots{Free: l.Free, Total: l.Usable}
+	}
+	return services
+}
+
+// Observe takes the slot report of a peer in the region.
+func (s *Slots) Observe(h shdirectory.Heartbeat, r shwire.SlotReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for name, x := range s.services {
+		if _, ok := r.Services[name]; !ok {
+			x.book.Forget(r.VM)
+		}
+	}
+	for name, slots := range r.Services {
+		x := s.service(name)
+		x.book.Observe(shrouting.Report{
+			VM: r.VM, Address: h.ServerAddress, Place: h.Place, Free: slots.Free, Usable: slots.Total, At: now,
+		})
+		x.book.SetHealthy(r.VM, true)
+	}
+}
+
+// Snapshot returns what a routing policy needs to know about this VM and its
+// peers in the region.
+func (s *Slots) Snapshot(self shrouting.Own, name shmodel.Service) shrouting.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	x := s.service(name)
+	load := s.table.Load(now, name)
+	lookups, onceOnly := x.admission.Waiting()
+	self.Free, self.Usable, self.Queued = load.Free, load.Usable, lookups+onceOnly
+	return shrouting.Snapshot{Own: self, Peers: x.book.Peers(now), MeanService: x.mean.value()}
+}
+
+// BeginForward notes a forward to a peer; the function notes its end.
+func (s *Slots) BeginForward(name shmodel.Service, vm shmodel.VM) func(refused, healthy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.service(name)
+	id := x.book.Begin(time.Now(), vm)
+	return func(refused, healthy bool) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		x.book.End(time.Now(), id, refused)
+		if !healthy {
+			x.book.SetHealthy(vm, false)
+		}
+	}
+}
+
+// meanTime is an exponentially weighted mean of durations.
+type meanTime struct{ mean time.Duration }
+
+// meanWeight gives the last 32 requests most of the weight.
+const meanWeight = 32
+
+func (m *meanTime) add(d time.Duration) {
+	if m.mean == 0 {
+		m.mean = d
+		return
+	}
+	m.mean += (d - m.mean) / meanWeight
+}
+
+func (m *meanTime) value() time.Duration { return m.mean }
