--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -65,7 +65,7 @@
 // Run runs the roles of the settings until ctx ends, then stops gracefully. It
 // returns early with an error if a role fails.
 func Run(ctx context.Context, s shsettings.Settings, log *slog.Logger) error {
-	d := &daemon{settings: s, log: log.With("vm", s.VM), incarnation: uint64(time.Now().UnixNano())}
+	d := &daemon{settings: s, log: log, incarnation: uint64(time.Now().UnixNano())}
 	if err := d.open(); err != nil {
 		return errors.Join(err, d.close())
 	}
