Do not take an owner's own freeze for a crash

An owner that froze past the end of a lease found no announcements of the backend server, which had turned to another owner, and reported its requests as suspects. Silence now proves nothing when the lease ended while the table was frozen, or was released.

--- a/coordination/shslot/backend.go
+++ b/coordination/shslot/backend.go
@@ -42,6 +42,9 @@
 
 	blocked bool
 	broken  *breakage
+	// elsewhere says that the backend server may have turned to another owner,
+	// so that its silence proves nothing. A newer incarnation still does.
+	elsewhere bool
 
 	// lastUsed is the ID of the latest reservation.
 	lastUsed ReservationID
@@ -138,6 +141,7 @@
 	}
 	fresh := !b.leased(now)
 	b.leaseUntil = later(b.leaseUntil, sentAt.Add(LeaseDuration))
+	b.elsewhere = b.elsewhere && !b.leased(now)
 	b.count(now, a.InFlight, sentAt, fresh)
 	return cleared
 }
@@ -287,7 +291,7 @@
 }
 
 func (b *backend) silentAfterBreak(now time.Time) (CrashSuspected, bool) {
-	if b.broken == nil || now.Sub(b.broken.silentFrom) < LeaseDuration {
+	if b.broken == nil || b.elsewhere || now.Sub(b.broken.silentFrom) < LeaseDuration {
 		return CrashSuspected{}, false
 	}
 	return b.crash(), true
--- a/coordination/shslot/history_test.go
+++ b/coordination/shslot/history_test.go
@@ -123,7 +123,8 @@
 		o.table.Release(now, id, Completed)
 	}
 	o.ended = nil
-	o.table.Apply(now, Tick{})
+	reported := crashes(o.table.Apply(now, Tick{}))
+	assert.Assert(h.t, len(reported) == 0, "at %v: no backend server died, yet %+v", d, reported)
 	for range 2 {
 		if r, ok := reserve(o.table, now); ok {
 			o.reserved = append(o.reserved, r)
@@ -166,11 +167,20 @@
 	}
 }
 
+// gaveUp is how an owner loses a request that runs on: most connections that
+// break do so without a crash.
+func (h *history) gaveUp() Result {
+	if h.chance(500) {
+		return Broken
+	}
+	return Abandoned
+}
+
 func (h *history) finish(d time.Duration, f *fakeBackend) {
 	kept := f.running[:0]
 	for _, r := range f.running {
 		if r.abandonAt > 0 && d >= r.abandonAt && d >= r.owner.frozenUntil {
-			r.owner.table.Release(r.owner.now(d), r.id, Abandoned)
+			r.owner.table.Release(r.owner.now(d), r.id, h.gaveUp())
 		}
 		if d < r.until {
 			kept = append(kept, r)
@@ -182,8 +192,9 @@
 }
 
 // Guards against slots that two owners fill, with owners that freeze for up to
-// 4 s at any point before Dispatch, lost answers and 2% clock drift, and
-// against new work 2 s after a backend server began to leave.
+// 4 s at any point before Dispatch, lost answers and 2% clock drift; against
+// new work 2 s after a backend server began to leave; and against reports of
+// crashes when only connections broke.
 func TestSlotsNeverExceeded(t *testing.T) {
 	served := 0
 	for seed := range int64(seeds) {
--- a/coordination/shslot/table.go
+++ b/coordination/shslot/table.go
@@ -193,15 +193,13 @@
 	return append(out, t.soloEffects(now)...)
 }
 
-// noticeFreeze restarts the silence of suspected backend servers after the
-// table itself was frozen. Their announcements may still be waiting to be read,
-// and reporting them would strike innocent requests.
+// noticeFreeze finds the backend servers whose lease ended while the table
+// itself was frozen. They may have turned to another owner, and taking their
+// silence for a crash would strike innocent requests.
 func (t *Table) noticeFreeze(now time.Time) {
 	if !t.lastEvent.IsZero() && now.Sub(t.lastEvent) > frozenAfter {
 		for _, b := range t.backends {
-			if b.broken != nil {
-				b.broken.silentFrom = now
-			}
+			b.elsewhere = b.elsewhere || !b.leased(now)
 		}
 	}
 	t.lastEvent = now
@@ -265,6 +263,7 @@
 	if b := t.backends[name]; b != nil {
 		b.leaseUntil = time.Time{}
 		b.released = true
+		b.elsewhere = true
 	}
 	return AnswerAnnouncement{BackendServer: name, Released: true, Owners: t.owners}
 }
--- a/coordination/shslot/table_test.go
+++ b/coordination/shslot/table_test.go
@@ -299,12 +299,38 @@
 		answerTo(t, table, at(501*ms), a)
 		assert.DeepEqual(t, ticks(table, 600*ms, 9000*ms), want)
 	})
+	t.Run("released", func(t *testing.T) {
+		table, _ := broken(t)
+		table.Apply(at(600*ms), StopBegun{})
+		assert.Assert(t, answerTo(t, table, at(700*ms), announcement()).Released)
+		assert.Equal(t, len(ticks(table, 800*ms, 9000*ms)), 0)
+	})
+	t.Run("break seen after a freeze", func(t *testing.T) {
+		table, _ := leased(t)
+		r, _ := reserve(table, at(500*ms))
+		table.Dispatch(at(500*ms), r.ID)
+		table.Release(at(3000*ms), r.ID, Broken)
+		assert.Equal(t, len(ticks(table, 3000*ms, 9000*ms)), 0)
+	})
+	t.Run("break seen after the lease", func(t *testing.T) {
+		table, _ := leased(t)
+		r, _ := reserve(table, at(500*ms))
+		table.Dispatch(at(500*ms), r.ID)
+		ticks(table, 600*ms, 2000*ms)
+		table.Release(at(2000*ms), r.ID, Broken)
+		assert.Equal(t, len(ticks(table, 2000*ms, 9000*ms)), 1)
+	})
 	t.Run("frozen owner", func(t *testing.T) {
 		table, a := broken(t)
 		assert.Equal(t, len(crashes(table.Apply(at(5*time.Second), Tick{}))), 0)
 		a.Nonce = answerTo(t, table, at(5001*ms), a).Nonce
-		answerTo(t, table, at(5500*ms), a)
-		assert.Equal(t, len(ticks(table, 5600*ms, 9000*ms)), 0)
+		a.Nonce = answerTo(t, table, at(5500*ms), a).Nonce
+		assert.Equal(t, len(ticks(table, 5600*ms, 5800*ms)), 0)
+		// Its silence counts again once it is back.
+		r, ok := reserve(table, at(5800*ms))
+		assert.Assert(t, ok && table.Dispatch(at(5800*ms), r.ID))
+		table.Release(at(5800*ms), r.ID, Broken)
+		assert.Equal(t, len(ticks(table, 5900*ms, 9000*ms)), 1)
 	})
 }
 
