Add the clock error to the dispatch deadline

Cause: the backend server compares the dispatch deadline, 250 ms after the claim, with its own clock. One whose clock is ahead by more than that refused every once-only request as past its deadline, as not run each time. Ruled out: a longer dispatch window, which would let a frozen process send late. Before: the new test fails, the deadline leaves no room for the clock error.

--- a/coordination/shrequest/executor.go
+++ b/coordination/shrequest/executor.go
@@ -185,7 +185,9 @@
 			BackendServer: x.reservation.BackendServer,
 			Address:       x.reservation.Address,
 			Incarnation:   x.reservation.Incarnation,
-			DispatchBy:    earlier(now.Add(DispatchWindow), x.Request.Deadline),
+			// The backend server compares this with its own clock, which may be
+			// ahead by the clock error.
+			DispatchBy: earlier(now.Add(DispatchWindow), x.Request.Deadline).Add(x.ClockError),
 		},
 	}
 	return []Effect{AskControl{Command: x.claim}}
--- a/coordination/shrequest/machine_test.go
+++ b/coordination/shrequest/machine_test.go
@@ -283,3 +283,13 @@
 	r.Apply(at(4*ms), AttemptResult{Attempt: 2, Result: BrokenOff{}})
 	assert.Equal(t, has[AnswerCaller](t, settle(r, 5*ms, with(shcontrol.ClaimNotRun))).Outcome, shmodel.Unknown)
 }
+
+// Guards against a backend server whose clock is ahead by the clock error and
+// that therefore refuses every once-only request as past its deadline.
+func TestDispatchDeadlineAllowsForClockError(t *testing.T) {
+	const clockError = 500 * ms
+	x, _ := NewExecutor(at(0), ExecutorOptions{Request: testRequest(shmodel.OnceOnly), Attempt: 1, VM: "v", ClockError: clockError})
+	open := has[AskControl](t, x.Apply(at(0), slot)).Command
+	send := has[Dispatch](t, x.Apply(at(10*ms), ControlResult{Command: open, Result: granted}))
+	assert.Assert(t, !send.Deadline.Before(send.NotAfter.Add(clockError)))
+}
