Remember ended solo runs apart from suspects

A late copy of an OpenSolo could open a run after its digest had been cleared and struck again. Nobody performed that run, so it ran out, counted as a crash and quarantined an innocent digest.

--- a/coordination/shcontrol/strikes.go
+++ b/coordination/shcontrol/strikes.go
@@ -9,9 +9,15 @@
 	"sequoiahollow/state/shmodel"
 )
 
-// defaultCrashLimit is the number of crashed backend servers at which a digest
-// is quarantined if the configuration does not say.
-const defaultCrashLimit = 2
+const (
+	// defaultCrashLimit is the number of crashed backend servers at which a
+	// digest is quarantined if the configuration does not say.
+	defaultCrashLimit = 2
+
+	// maxSolo bounds how far in the future a solo run may end, and with it how
+	// long ended runs have to be remembered.
+	maxSolo = 10 * time.Minute
+)
 
 // Suspect is a digest that does not run like any other.
 type Suspect struct {
@@ -39,17 +45,27 @@
 	Alone int `json:"alone,omitempty"`
 	// Run is the solo run in progress; zero if none.
 	Run solo `json:"run,omitzero"`
-	// Ended is the last solo run that ended. A late copy of its OpenSolo must
-	// not open a run that nobody performs.
-	Ended solo `json:"ended,omitzero"`
-	// Presumed is set if Ended ran out without a report and was counted as a
-	// crash. A late report of that run replaces the presumption.
-	Presumed bool `json:"presumed,omitempty"`
+	// Presumed is the request of the last solo run if that ran out without a
+	// report and was counted as a crash. A late report of that run replaces the
+	// presumption.
+	Presumed shmodel.RequestID `json:"presumed,omitzero"`
+}
+
+// endedRun identifies a solo run that ended.
+type endedRun struct {
+	Digest    shmodel.Digest    `json:"digest"`
+	RequestID shmodel.RequestID `json:"requestId"`
+	VM        shmodel.VM        `json:"vm"`
+	// Until is in Unix nanoseconds.
+	Until int64 `json:"until"`
 }
 
 // strikes is the digests with a strike.
 type strikes struct {
 	Suspects map[shmodel.Digest]*suspect `json:"suspects"`
+	// Ended is the runs that ended lately. A late copy of an OpenSolo must not
+	// open a run that nobody performs, since that would count as a crash.
+	Ended agingMap[endedRun, bool] `json:"ended"`
 }
 
 // strikeRules is the part of the configuration that applies to strikes.
@@ -58,22 +74,37 @@
 	clockError time.Duration
 }
 
-// end ends the run in progress.
-func (s *suspect) end() {
-	s.Ended = s.Run
+// run names a solo run of a digest.
+func (r solo) run(d shmodel.Digest) endedRun {
+	return endedRun{Digest: d, RequestID: r.RequestID, VM: r.VM, Until: r.Until.UnixNano()}
+}
+
+// finish ends the run in progress of a digest.
+func (t *strikes) finish(at time.Time, d shmodel.Digest, s *suspect) {
+	t.Ended.put(at, s.Run.run(d), true)
 	s.Run = solo{}
-	s.Presumed = false
+	s.Presumed = 0
 }
 
 // expire counts a run that nobody reported as a crash: its VM may have died
 // before it could report the crash.
-func (s *suspect) expire(at time.Time, rules strikeRules) {
+func (t *strikes) expire(at time.Time, rules strikeRules, d shmodel.Digest, s *suspect) {
 	if s.Run.RequestID == 0 || !at.After(s.Run.Until.Add(rules.clockError)) {
 		return
 	}
-	s.end()
+	request := s.Run.RequestID
+	t.finish(at, d, s)
 	s.Alone++
-	s.Presumed = true
+	s.Presumed = request
+}
+
+// forget drops ended runs that are too old to be opened again.
+func (t *strikes) forget(at time.Time, rules strikeRules) {
+	for range expiredPerApply {
+		if _, ok := t.Ended.takeOlder(at, maxSolo+rules.clockError); !ok {
+			return
+		}
+	}
 }
 
 func (s *suspect) status(rules strikeRules) SuspectStatus {
@@ -98,8 +129,8 @@
 			s = t.add(d)
 			s.share(c.BackendServer)
 		} else {
-			s.expire(at, rules)
-			s.crash(c)
+			t.expire(at, rules, d, s)
+			t.crash(at, c, d, s)
 		}
 		statuses = append(statuses, s.status(rules))
 	}
@@ -114,20 +145,20 @@
 	return t.Suspects[d]
 }
 
-// crash counts a reported crash.
-func (s *suspect) crash(c ReportCrash) {
+// crash counts a reported crash of a digest that has a strike.
+func (t *strikes) crash(at time.Time, c ReportCrash, d shmodel.Digest, s *suspect) {
 	if !c.Solo {
 		s.share(c.BackendServer)
 		return
 	}
 	if s.Run.RequestID != 0 && (c.RequestID == 0 || c.RequestID == s.Run.RequestID) {
-		s.end()
+		t.finish(at, d, s)
 		s.Alone++
 		return
 	}
 	// The presumption was right; the crash is counted already.
-	if s.Presumed && c.RequestID == s.Ended.RequestID {
-		s.Presumed = false
+	if c.RequestID == s.Presumed {
+		s.Presumed = 0
 	}
 }
 
@@ -140,24 +171,23 @@
 // open applies an OpenSolo. A repeated proposal of the run in progress gets
 // the same result.
 func (t *strikes) open(at time.Time, rules strikeRules, c OpenSolo) Result {
-	c.Until = canonical(c.Until)
-	if c.RequestID == 0 || c.VM == "" || !c.Until.After(at) {
-		return Rejected{Reason: "a solo run needs a request ID, a VM and a deadline in the future"}
+	asked := solo{RequestID: c.RequestID, VM: c.VM, Until: canonical(c.Until)}
+	ahead := asked.Until.Sub(at)
+	if c.RequestID == 0 || c.VM == "" || ahead <= 0 || ahead > maxSolo {
+		return Rejected{Reason: "a solo run needs a request ID, a VM and an end within 10 minutes"}
 	}
+	t.forget(at, rules)
 	s := t.Suspects[c.Digest]
 	if s == nil {
 		return single(SuspectNone)
 	}
-	s.expire(at, rules)
-	asked := solo{RequestID: c.RequestID, VM: c.VM, Until: c.Until}
+	t.expire(at, rules, c.Digest, s)
 	status := s.status(rules)
-	switch {
-	case status == SuspectBusy && s.Run == asked:
+	if status == SuspectBusy && s.Run.run(c.Digest) == asked.run(c.Digest) {
 		return single(SuspectGranted)
-	case status != SuspectSolo:
+	}
+	if _, ended := t.Ended.get(asked.run(c.Digest)); ended || status != SuspectSolo {
 		return single(status)
-	case s.Ended == asked:
-		return single(SuspectSolo)
 	}
 	s.Run = asked
 	return single(SuspectGranted)
@@ -166,25 +196,30 @@
 // end applies a CloseSolo.
 func (t *strikes) end(at time.Time, rules strikeRules, c CloseSolo) Result {
 	s := t.Suspects[c.Digest]
-	if s == nil {
-		return single(SuspectNone)
+	if s == nil || c.RequestID == 0 {
+		return single(t.statusOf(rules, c.Digest))
 	}
-	s.expire(at, rules)
-	running := s.Run.RequestID != 0 && s.Run.RequestID == c.RequestID
-	presumed := s.Presumed && s.Ended.RequestID == c.RequestID
-	switch {
-	case !running && !presumed:
+	t.expire(at, rules, c.Digest, s)
+	switch c.RequestID {
+	case s.Run.RequestID:
+		t.finish(at, c.Digest, s)
+	case s.Presumed:
+		s.Alone--
+		s.Presumed = 0
+	default:
 		return single(s.status(rules))
-	case c.Succeeded:
+	}
+	if c.Succeeded {
 		delete(t.Suspects, c.Digest)
-		return single(SuspectNone)
-	case running:
-		s.end()
-	case presumed:
-		s.Alone--
-		s.Presumed = false
 	}
-	return single(s.status(rules))
+	return single(t.statusOf(rules, c.Digest))
+}
+
+func (t *strikes) statusOf(rules strikeRules, d shmodel.Digest) SuspectStatus {
+	if s := t.Suspects[d]; s != nil {
+		return s.status(rules)
+	}
+	return SuspectNone
 }
 
 // list returns the suspects by digest.
--- /dev/null
+++ b/coordination/shcontrol/strikes_test.go
@@ -0,0 +1,166 @@
+package shcontrol_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+)
+
+// poison crashes each backend server that runs it.
+var poison = shmodel.Digest{0xff}
+
+// ward runs requests on backend servers, several at a time unless suspect.
+type ward struct {
+	*rand.Rand
+	state   shcontrol.State
+	at      time.Time
+	request shmodel.RequestID
+	// crashes counts backend servers that died while they ran poison.
+	crashes int
+	repeats []shcontrol.Command
+}
+
+// apply applies a command that may be applied again later.
+func (w *ward) apply(c shcontrol.Command) []shcontrol.SuspectStatus {
+	if w.IntN(3) == 0 {
+		w.repeats = append(w.repeats, c)
+	}
+	return w.state.Apply(w.at, c).(shcontrol.SuspectResult).Statuses
+}
+
+func (w *ward) repeat() {
+	for len(w.repeats) > 0 && w.IntN(2) == 0 {
+		w.state.Apply(w.at, w.repeats[0])
+		w.repeats = w.repeats[1:]
+	}
+}
+
+func (w *ward) suspects() map[shmodel.Digest]shcontrol.SuspectStatus {
+	statuses := map[shmodel.Digest]shcontrol.SuspectStatus{}
+	for _, s := range w.state.Suspects() {
+		statuses[s.Digest] = s.Status
+	}
+	return statuses
+}
+
+// together runs digests on one backend server, those that are not suspect.
+func (w *ward) together(digests ...shmodel.Digest) {
+	var ran []shmodel.Digest
+	crashed := false
+	for _, d := range digests {
+		if w.suspects()[d] == "" {
+			ran = append(ran, d)
+			crashed = crashed || d == poison
+		}
+	}
+	if crashed {
+		w.crashes++
+		server := shmodel.BackendServer(fmt.Sprint("server", w.IntN(3)))
+		w.apply(shcontrol.ReportCrash{BackendServer: server, Digests: ran})
+	}
+}
+
+// alone gives a digest a solo run. Its VM may die before it reports.
+func (w *ward) alone(d shmodel.Digest) {
+	w.request++
+	w.at = w.at.Add(time.Second)
+	until := w.at.Add(time.Second)
+	granted := w.apply(shcontrol.OpenSolo{Digest: d, RequestID: w.request, VM: "v", Until: until})
+	if granted[0] != shcontrol.SuspectGranted {
+		return
+	}
+	other := w.state.Apply(w.at, shcontrol.OpenSolo{Digest: d, RequestID: w.request + 1000, VM: "w", Until: until})
+	if other.(shcontrol.SuspectResult).Statuses[0] != shcontrol.SuspectBusy {
+		panic("two solo runs at once")
+	}
+	if d != poison {
+		w.apply(shcontrol.CloseSolo{Digest: d, RequestID: w.request, Succeeded: true})
+		return
+	}
+	w.crashes++
+	if w.IntN(3) > 0 {
+		w.apply(shcontrol.ReportCrash{BackendServer: "server0", Digests: []shmodel.Digest{d}, Solo: true, RequestID: w.request})
+	}
+	w.at = w.at.Add(2 * time.Second)
+}
+
+// Guards against a caller that resends a crashing request until every backend
+// server is down, and against requests that are refused because they shared a
+// backend server with it.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	for seed := range uint64(200) {
+		limit := 2 + int(seed%2)
+		w := &ward{Rand: rand.New(rand.NewPCG(seed, 3)), at: start}
+		w.state.Apply(w.at, shcontrol.ApplyConfig{EditID: "e", Config: shconfig.Config{Limits: shconfig.Limits{CrashLimit: limit}}})
+		innocent := func() shmodel.Digest { return shmodel.Digest{byte(w.IntN(4))} }
+		for range 30 {
+			w.together(innocent(), poison, innocent())
+			w.alone(poison)
+			w.alone(innocent())
+			w.repeat()
+		}
+		for d := range w.suspects() {
+			if d != poison {
+				w.alone(d)
+			}
+		}
+		assert.Equal(t, w.crashes, limit, "seed %d", seed)
+		assert.DeepEqual(t, w.suspects(), map[shmodel.Digest]shcontrol.SuspectStatus{poison: shcontrol.SuspectQuarantined})
+	}
+}
+
+// Guards the rules of single reports: the last command must get the wanted
+// status. Commands are one second apart and solo runs end after ten.
+func TestSuspectRules(t *testing.T) {
+	d := shmodel.Digest{1}
+	crash := func(server shmodel.BackendServer) shcontrol.Command {
+		return shcontrol.ReportCrash{BackendServer: server, Digests: []shmodel.Digest{d}}
+	}
+	soloCrash := func(id shmodel.RequestID) shcontrol.Command {
+		return shcontrol.ReportCrash{BackendServer: "b", Digests: []shmodel.Digest{d}, Solo: true, RequestID: id}
+	}
+	begin := func(id shmodel.RequestID, from int) shcontrol.Command {
+		until := start.Add(time.Duration(from+10) * time.Second)
+		return shcontrol.OpenSolo{Digest: d, RequestID: id, VM: "v", Until: until}
+	}
+	end := func(id shmodel.RequestID, succeeded bool) shcontrol.Command {
+		return shcontrol.CloseSolo{Digest: d, RequestID: id, Succeeded: succeeded}
+	}
+	type list = []shcontrol.Command
+	for name, c := range map[string]struct {
+		commands list
+		want     shcontrol.SuspectStatus
+	}{
+		"no strike":                          {list{begin(1, 0)}, shcontrol.SuspectNone},
+		"strike":                             {list{crash("b")}, shcontrol.SuspectSolo},
+		"shared crashes alone":               {list{crash("b"), crash("c"), crash("d")}, shcontrol.SuspectSolo},
+		"repeated claim":                     {list{crash("b"), begin(1, 0), begin(1, 0)}, shcontrol.SuspectGranted},
+		"second claim":                       {list{crash("b"), begin(1, 0), begin(2, 0)}, shcontrol.SuspectBusy},
+		"success":                            {list{crash("b"), begin(1, 0), end(1, true)}, shcontrol.SuspectNone},
+		"success of another request":         {list{crash("b"), begin(1, 0), end(2, true)}, shcontrol.SuspectBusy},
+		"ended without crash":                {list{crash("b"), begin(1, 0), end(1, false)}, shcontrol.SuspectSolo},
+		"late copy of an ended run":          {list{crash("b"), begin(1, 0), end(1, false), begin(1, 0)}, shcontrol.SuspectSolo},
+		"solo crash":                         {list{crash("b"), begin(1, 0), soloCrash(1)}, shcontrol.SuspectQuarantined},
+		"report of an earlier run":           {list{crash("b"), begin(1, 0), end(1, false), begin(2, 0), soloCrash(1)}, shcontrol.SuspectBusy},
+		"run out, same backend server":       {list{crash("b"), begin(1, -8), crash("b"), begin(2, 0)}, shcontrol.SuspectQuarantined},
+		"late success of a run that ran out": {list{crash("b"), begin(1, -8), crash("b"), begin(2, 0), end(1, true)}, shcontrol.SuspectNone},
+		"late end of a run that ran out":     {list{crash("b"), begin(1, -8), crash("b"), begin(2, 0), end(1, false)}, shcontrol.SuspectSolo},
+		"confirmed crash after it ran out":   {list{crash("b"), begin(1, -8), crash("b"), begin(2, 0), soloCrash(1), end(1, false)}, shcontrol.SuspectQuarantined},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s shcontrol.State
+			var last shcontrol.SuspectResult
+			for i, command := range c.commands {
+				last = s.Apply(start.Add(time.Duration(i)*time.Second), command).(shcontrol.SuspectResult)
+			}
+			assert.DeepEqual(t, last.Statuses, []shcontrol.SuspectStatus{c.want})
+		})
+	}
+}
