Let a grant request renew grants of the same VM

Without renewal a holder of most of a link has to wait for its old grants to expire before it gets new ones, and the link lies idle meanwhile. A renewal moves rate between grants and keeps the sum that the state counts at or above what the holder may use.

--- a/coordination/shcontrol/command.go
+++ b/coordination/shcontrol/command.go
@@ -80,6 +80,9 @@
 	From          shmodel.Region `json:"from"`
 	To            shmodel.Region `json:"to"`
 	BitsPerSecond int64          `json:"bitsPerSecond"`
+	// Renews lists grants of VM for the same link whose rate may move to the
+	// new grant. The holder stops using them when it gets the new grant.
+	Renews []uint64 `json:"renews,omitempty"`
 }
 
 // ExpireGrant frees a grant. Only the leader proposes it, after the grant ran
--- a/coordination/shcontrol/state.go
+++ b/coordination/shcontrol/state.go
@@ -64,7 +64,7 @@
 	case SettleClaim:
 		return s.claims.settle(at, c)
 	case RequestGrant:
-		return s.grants.request(s.revisions.Config, c)
+		return s.grants.request(at, s.revisions.Config, c)
 	case ExpireGrant:
 		return s.grants.expire(c)
 	case ReserveRange:
