--- a/coordination/shcontrol/patch.go
+++ b/coordination/shcontrol/patch.go
@@ -12,18 +12,14 @@
 // integers keep their value.
 type object = map[string]any
 
-// document returns the JSON object of a configuration without null members,
-// which a merge patch cannot express.
+// document returns the JSON object of a configuration. A merge patch removes
+// its null members, which leaves the decoded configuration the same.
 func document(c shconfig.Config) (object, error) {
 	data, err := json.Marshal(c)
 	if err != nil {
 		return nil, err
 	}
-	doc, err := parseObject(data)
-	if err != nil {
-		return nil, err
-	}
-	return mergePatch(object{}, doc), nil
+	return parseObject(data)
 }
 
 func parseObject(data []byte) (object, error) {
