Deliver events of request machines without a bound

A machine whose goroutine had ended could lose the result of a slower attempt in its buffer. The mailbox returns what was not taken, and such an attempt is recorded in the account.

--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -15,10 +15,6 @@
 	"sequoiahollow/state/shmodel"
 )
 
-// eventBuffer holds the events of one machine. A machine has few effects in
-// progress at a time.
-const eventBuffer = 16
-
 // closeTimeout bounds commands that close a claim after the request's deadline.
 const closeTimeout = 15 * time.Second
 
@@ -26,24 +22,6 @@
 // deadline of its caller.
 const onceOnlyGrace = 30 * time.Second
 
-// mailbox carries the events of one machine until its goroutine ends.
-type mailbox struct {
-	events chan shrequest.Event
-	done   chan struct{}
-}
-
-func newMailbox() mailbox {
-	return mailbox{events: make(chan shrequest.Event, eventBuffer), done: make(chan struct{})}
-}
-
-// post delivers an event unless the goroutine has ended.
-func (m mailbox) post(e shrequest.Event) {
-	select {
-	case m.events <- e:
-	case <-m.done:
-	}
-}
-
 // payload is what is sent to a backend server beside the decisions.
 type payload struct {
 	method string
@@ -58,7 +36,7 @@
 	request shrequest.Request
 	payload payload
 	machine *shrequest.Executor
-	mailbox mailbox
+	mailbox *mailbox
 	mu      sync.Mutex
 	ended   bool
 	slots   map[shslot.ReservationID]*Slot
@@ -80,7 +58,7 @@
 		defer x.end()
 		x.carryOut(ctx, first)
 		for !x.machine.Finished() {
-			e := <-x.mailbox.events
+			e := x.mailbox.next()
 			x.carryOut(ctx, x.machine.Apply(time.Now(), e))
 		}
 	})
@@ -169,7 +147,7 @@
 
 // end releases reservations that the machine left behind.
 func (x *execution) end() {
-	close(x.mailbox.done)
+	x.mailbox.close()
 	x.cancel()
 	x.mu.Lock()
 	x.ended = true
@@ -282,7 +260,7 @@
 }
 
 // askControl proposes a command and posts its result.
-func (e *Entry) askControl(c shcontrol.Command, r shrequest.Request, m mailbox) {
+func (e *Entry) askControl(c shcontrol.Command, r shrequest.Request, m *mailbox) {
 	deadline := time.Now().Add(closeTimeout)
 	switch c.(type) {
 	case shcontrol.OpenClaim, shcontrol.OpenSolo:
@@ -300,6 +278,6 @@
 	m.post(shrequest.ControlResult{Command: c, Result: result})
 }
 
-func startTimer(t shrequest.StartTimer, m mailbox) {
+func startTimer(t shrequest.StartTimer, m *mailbox) {
 	time.AfterFunc(t.After, func() { m.post(shrequest.TimerFired{ID: t.ID}) })
 }
--- a/transport/shentry/forward.go
+++ b/transport/shentry/forward.go
@@ -71,7 +71,7 @@
 	result := c.sendForward(ctx, f, region)
 	x, whole := result.(shrequest.Executed)
 	ended(whole && x.Execution.Reason == shrequest.ReasonNoCapacity, whole)
-	c.mailbox.post(shrequest.AttemptResult{Attempt: f.Attempt, Result: result})
+	c.report(f.Attempt, result)
 }
 
 func (e *Entry) regionOf(vm shmodel.VM) shmodel.Region {
--- /dev/null
+++ b/transport/shentry/mailbox.go
@@ -0,0 +1,57 @@
+package shentry
+
+import (
+	"sync"
+
+	"sequoiahollow/coordination/shrequest"
+)
+
+// mailbox carries the events of one machine to its goroutine.
+type mailbox struct {
+	signal chan struct{}
+
+	mu     sync.Mutex
+	events []shrequest.Event
+	closed bool
+}
+
+func newMailbox() *mailbox { return &mailbox{signal: make(chan struct{}, 1)} }
+
+// post delivers an event. It reports false if the machine is finished.
+func (m *mailbox) post(e shrequest.Event) bool {
+	m.mu.Lock()
+	if m.closed {
+		m.mu.Unlock()
+		return false
+	}
+	m.events = append(m.events, e)
+	m.mu.Unlock()
+	select {
+	case m.signal <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// next waits for an event.
+func (m *mailbox) next() shrequest.Event {
+	for {
+		m.mu.Lock()
+		if len(m.events) > 0 {
+			e := m.events[0]
+			m.events = m.events[1:]
+			m.mu.Unlock()
+			return e
+		}
+		m.mu.Unlock()
+		<-m.signal
+	}
+}
+
+// close ends the delivery and returns the events that were not taken.
+func (m *mailbox) close() []shrequest.Event {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	return m.events
+}
--- a/transport/shentry/receiver.go
+++ b/transport/shentry/receiver.go
@@ -23,7 +23,7 @@
 	request shrequest.Request
 	payload payload
 	machine *shrequest.Receiver
-	mailbox mailbox
+	mailbox *mailbox
 	writer  http.ResponseWriter
 	ctx     context.Context
 	start   time.Time
@@ -53,7 +53,7 @@
 	defer gone()
 	c.carryOut(first)
 	for !c.answered && !c.machine.Finished() {
-		c.carryOut(c.machine.Apply(time.Now(), <-c.mailbox.events))
+		c.carryOut(c.machine.Apply(time.Now(), c.mailbox.next()))
 	}
 	if c.machine.Finished() {
 		c.end()
@@ -69,12 +69,16 @@
 func (c *reception) finish() {
 	defer c.end()
 	for !c.machine.Finished() {
-		c.carryOut(c.machine.Apply(time.Now(), <-c.mailbox.events))
+		c.carryOut(c.machine.Apply(time.Now(), c.mailbox.next()))
 	}
 }
 
 func (c *reception) end() {
-	close(c.mailbox.done)
+	for _, e := range c.mailbox.close() {
+		if a, ok := e.(shrequest.AttemptResult); ok {
+			c.recordLate(a)
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.streams {
@@ -151,11 +155,32 @@
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.executions[f.Attempt] = x.mailbox.post
+	c.executions[f.Attempt] = func(e shrequest.Event) { x.mailbox.post(e) }
 }
 
+// report passes the result of an attempt to the machine.
 func (c *reception) report(attempt uint32, result shrequest.Result) {
-	go c.mailbox.post(shrequest.AttemptResult{Attempt: attempt, Result: result})
+	a := shrequest.AttemptResult{Attempt: attempt, Result: result}
+	if !c.mailbox.post(a) {
+		c.recordLate(a)
+	}
+}
+
+// recordLate records an attempt that ended after the caller had its outcome, such
+// as the slower one of two hedged attempts.
+func (c *reception) recordLate(a shrequest.AttemptResult) {
+	x, ok := a.Result.(shrequest.Executed)
+	if !ok {
+		return
+	}
+	q := c.request
+	c.entry.writeRecord(shrequest.WriteRecord{Record: shrecord.Record{
+		RequestID: q.ID, Kind: shrecord.Attempted, Attempt: a.Attempt, Service: q.Service, Method: q.Method,
+		Path: q.Path, Operation: q.Operation, Key: q.Key, Caller: q.Caller, FromRegion: c.entry.Place.Region,
+		BackendServer: x.Execution.BackendServer, Outcome: x.Execution.Outcome, Reason: string(x.Execution.Reason),
+		Status: x.Execution.Answer.Status, AnswerBytes: x.Execution.Bytes,
+		DurationUS: time.Since(c.start).Microseconds(),
+	}}, c.mailbox)
 }
 
 func (c *reception) cancelAttempt(attempt uint32) {
@@ -277,7 +302,7 @@
 }
 
 // writeRecord writes a record and posts what became of it if that is awaited.
-func (e *Entry) writeRecord(w shrequest.WriteRecord, m mailbox) {
+func (e *Entry) writeRecord(w shrequest.WriteRecord, m *mailbox) {
 	w.Record.VM = e.VM
 	w.Record.At = time.Now()
 	if !w.Await {
