--- a/coordination/shreplication/machine.go
+++ b/coordination/shreplication/machine.go
@@ -328,7 +328,7 @@
 		h.retryAt = now.Add(m.config.LongestPause)
 	case h.state == syncing && h.wasCopied && reason == TargetFailed:
 		h.state = copied
-	case h.state == syncing || h.state == copying || reason == BatchLost:
+	case h.state == syncing || h.state == copying:
 		h.state = none
 	}
 }
