--- a/transport/shaccount/store_test.go
+++ b/transport/shaccount/store_test.go
@@ -1,6 +1,7 @@
 package shaccount
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -203,3 +204,34 @@
 	assert.Equal(t, KindOf(appendOne(t, s, 1, false, r)), Invalid)
 	assert.Equal(t, s.Records(), 0)
 }
+
+// Guards against a damaged or missing segment that hides the segments after it.
+func TestStoreReadsAroundDamagedSegments(t *testing.T) {
+	disk := newFakeDisk()
+	s, err := OpenStore(StoreOptions{folder: disk, SegmentBytes: 1})
+	assert.NilError(t, err)
+	for i := range 4 {
+		assert.NilError(t, appendOne(t, s, uint64(i), true, opened(shmodel.RequestID(i+1))))
+	}
+	damages := map[string]func(d *fakeDisk, name string){
+		"end cut off": func(d *fakeDisk, name string) { d.files[name].data = d.files[name].data[:50] },
+		"all zero":    func(d *fakeDisk, name string) { clear(d.files[name].data) },
+		"empty":       func(d *fakeDisk, name string) { d.files[name].data = nil },
+		"missing":     func(d *fakeDisk, name string) { delete(d.files, name) },
+	}
+	for name, damage := range damages {
+		for segment := 1; segment <= 3; segment++ {
+			t.Run(fmt.Sprint(name, segment), func(t *testing.T) {
+				damaged := disk.crash(nil)
+				damage(damaged, fmt.Sprintf("%016x.segment", segment))
+				s := openFake(t, damaged)
+				assert.DeepEqual(t, ids(t, s, 0), slices.DeleteFunc([]shmodel.RequestID{1, 2, 3, 4}, func(id shmodel.RequestID) bool {
+					return int(id) == segment
+				}))
+				assert.Equal(t, len(s.Opened().Damage), 1)
+				assert.Equal(t, s.Opened().Damage[0].FirstSequence, uint64(segment))
+				assert.Equal(t, s.Opened().Damage[0].Entries, uint64(1))
+			})
+		}
+	}
+}
