--- a/transport/shaccount/history_test.go
+++ b/transport/shaccount/history_test.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"iter"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -101,19 +101,13 @@
 // remaining merges what the stores hold.
 func (h *history) remaining() []shrecord.Merged {
 	var merged []shrecord.Merged
-	var sources []func(context.Context, ReadRequest) (ReadResponse, error)
-	for _, vm := range slices.Sorted(maps.Keys(h.network.stores)) {
-		if s := h.network.stores[vm]; s != nil {
-			sources = append(sources, s.Read)
+	var sources []iter.Seq2[shrecord.Record, error]
+	for _, s := range h.network.stores {
+		if s != nil {
+			sources = append(sources, Pages(h.t.Context(), ReadRequest{Limit: 7}, s.Read))
 		}
 	}
-	assert.Equal(h.t, len(sources) > 0, true)
-	a, b := Pages(h.t.Context(), ReadRequest{Limit: 7}, sources[0]), Pages(h.t.Context(), ReadRequest{}, sources[1])
-	all := shrecord.Merge(a, b)
-	if len(sources) > 2 {
-		all = shrecord.Merge(a, b, Pages(h.t.Context(), ReadRequest{}, sources[2]))
-	}
-	for m, err := range all {
+	for m, err := range shrecord.Merge(sources...) {
 		assert.NilError(h.t, err)
 		merged = append(merged, m)
 	}
