--- a/transport/shaccount/store.go
+++ b/transport/shaccount/store.go
@@ -54,15 +54,21 @@
 	mu    sync.Mutex
 	index index
 	// owed holds the batches of each origin that are not released.
-	owed      map[Origin]map[uint64][]key
+	owed      map[Origin]*owed
 	syncTimer *time.Timer
 	closed    bool
 }
 
+// owed is the unreleased batches of one origin. No batch below oldest is left.
+type owed struct {
+	oldest  uint64
+	batches map[uint64][]key
+}
+
 // OpenStore opens a store. A torn tail is truncated; damage elsewhere is read
 // around and listed by Opened.
 func OpenStore(options StoreOptions) (*Store, error) {
-	s := &Store{options: options, owed: make(map[Origin]map[uint64][]key)}
+	s := &Store{options: options, owed: make(map[Origin]*owed)}
 	if s.options.MemoryRecords <= 0 {
 		s.options.MemoryRecords = DefaultMemoryRecords
 	}
@@ -195,7 +201,7 @@
 	}
 	s.releaseBelow(request.Origin, request.Oldest)
 	if request.Confirm {
-		if _, ok := s.owed[request.Origin][request.Batch]; !ok {
+		if o := s.owed[request.Origin]; o == nil || o.batches[request.Batch] == nil {
 			return 0, &Error{Op: "append", Kind: Stale}
 		}
 		return 0, nil
@@ -219,9 +225,9 @@
 		return 0, err
 	}
 	if s.owed[request.Origin] == nil {
-		s.owed[request.Origin] = make(map[uint64][]key)
+		s.owed[request.Origin] = &owed{batches: make(map[uint64][]key)}
 	}
-	s.owed[request.Origin][request.Batch] = keys
+	s.owed[request.Origin].add(request.Batch, keys)
 	return duplicates, nil
 }
 
@@ -336,18 +342,50 @@
 	return nil
 }
 
-func (s *Store) releaseBelow(origin Origin, oldest uint64) {
-	for b := range s.owed[origin] {
-		if b < oldest {
-			s.release(origin, b)
+func (o *owed) add(batch uint64, keys []key) {
+	o.batches[batch] = keys
+	o.oldest = min(o.oldest, batch)
+}
+
+// below returns the batches below oldest. It counts up or goes through all
+// batches, whichever is shorter, because each append calls it.
+func (o *owed) below(oldest uint64) []uint64 {
+	var batches []uint64
+	if oldest > o.oldest && oldest-o.oldest < uint64(len(o.batches)) {
+		for b := o.oldest; b < oldest; b++ {
+			if _, ok := o.batches[b]; ok {
+				batches = append(batches, b)
+			}
+		}
+	} else if oldest > o.oldest {
+		for b := range o.batches {
+			if b < oldest {
+				batches = append(batches, b)
+			}
 		}
 	}
+	o.oldest = max(o.oldest, oldest)
+	return batches
+}
+
+func (s *Store) releaseBelow(origin Origin, oldest uint64) {
+	o := s.owed[origin]
+	if o == nil {
+		return
+	}
+	for _, b := range o.below(oldest) {
+		s.release(origin, b)
+	}
 }
 
 func (s *Store) release(origin Origin, batch uint64) {
-	keys := s.owed[origin][batch]
-	delete(s.owed[origin], batch)
-	if len(s.owed[origin]) == 0 {
+	o := s.owed[origin]
+	if o == nil {
+		return
+	}
+	keys := o.batches[batch]
+	delete(o.batches, batch)
+	if len(o.batches) == 0 {
 		delete(s.owed, origin)
 	}
 	if s.log != nil {
@@ -374,7 +412,10 @@
 // adopt them: appends are idempotent. It stops at the first error of outbox.
 func (s *Store) Adopt(ctx context.Context, origin Origin, outbox *Outbox) error {
 	s.mu.Lock()
-	batches := slices.Sorted(maps.Keys(s.owed[origin]))
+	var batches []uint64
+	if o := s.owed[origin]; o != nil {
+		batches = slices.Sorted(maps.Keys(o.batches))
+	}
 	s.mu.Unlock()
 	for _, b := range batches {
 		records, err := s.batch(origin, b)
@@ -395,8 +436,12 @@
 func (s *Store) batch(origin Origin, batch uint64) ([]shrecord.Record, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	o := s.owed[origin]
+	if o == nil {
+		return nil, nil
+	}
 	var records []shrecord.Record
-	for _, k := range s.owed[origin][batch] {
+	for _, k := range o.batches[batch] {
 		e, ok := s.index.get(k)
 		if !ok {
 			continue
