Permit the own disk to hold the second synced copy

A region that is cut off may have no second account VM besides the entry VM itself; its outbox would then fill up although two disks are at hand. Off by default.

--- a/coordination/shreplication/machine.go
+++ b/coordination/shreplication/machine.go
@@ -10,9 +10,13 @@
 
 // Config is the configuration of a Machine. Zero values select the defaults.
 type Config struct {
-	// Self is the VM of the machine; it is never a target.
+	// Self is the VM of the machine. It is no target unless UseSelf is set.
 	Self  shmodel.VM
 	Place shmodel.Place
+	// UseSelf permits Self, if it is listed as a target, to hold the second
+	// synced copy when no other VM can. Without it a region that is cut off can
+	// run out of outbox space although its records are on two disks.
+	UseSelf bool
 	// InFlight bounds the appends in progress per target. Background appends
 	// use half of it, so that a backlog does not delay new requests.
 	InFlight int
@@ -175,9 +179,11 @@
 }
 
 // rank orders targets: another failure domain of the region, other regions, the
-// own failure domain.
+// own failure domain, the VM itself.
 func (m *Machine) rank(t *target) int {
 	switch {
+	case t.VM == m.config.Self:
+		return 3
 	case t.Place == m.config.Place:
 		return 2
 	case t.Place.Region == m.config.Place.Region:
@@ -201,7 +207,7 @@
 	m.targets = make(map[shmodel.VM]*target, len(targets))
 	m.order = m.order[:0]
 	for _, t := range targets {
-		if t.VM == m.config.Self {
+		if t.VM == m.config.Self && !m.config.UseSelf {
 			continue
 		}
 		kept := known[t.VM]
--- a/coordination/shreplication/machine_test.go
+++ b/coordination/shreplication/machine_test.go
@@ -81,6 +81,17 @@
 	}
 }
 
+// Guards against a region that is cut off and cannot use its two disks.
+func TestMachineUsesSelfLast(t *testing.T) {
+	config := self
+	config.UseSelf = true
+	m := New(config)
+	m.Handle(start, TargetsChanged{targets})
+	assert.DeepEqual(t, texts(m.Handle(start, Submitted{1, Durable})), []string{"Append{1 neighbour true false 0s}", "Append{1 near true false 0s}"})
+	m.Handle(start, TargetsChanged{[]Target{targets[0], targets[4]}})
+	assert.DeepEqual(t, texts(m.Handle(start, Submitted{2, Durable})), []string{"Append{2 neighbour true false 0s}", "Append{2 self true false 0s}"})
+}
+
 // Guards against a submitter that waits for ever and a batch that is dropped
 // when it gives up.
 func TestMachineGivesUpAndGoesOn(t *testing.T) {
