--- a/transport/shaccount/internal/shsegment/log.go
+++ b/transport/shaccount/internal/shsegment/log.go
@@ -277,6 +277,13 @@
 	return locations, nil
 }
 
+// Err returns the failure that refuses all appends, or nil.
+func (l *Log) Err() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failed
+}
+
 // Last returns the sequence number of the last entry.
 func (l *Log) Last() uint64 {
 	l.mu.Lock()
--- a/transport/shaccount/store.go
+++ b/transport/shaccount/store.go
@@ -113,6 +113,15 @@
 // Durable reports whether the store has a data folder.
 func (s *Store) Durable() bool { return s.log != nil }
 
+// Err returns an error of kind Failed if the store takes no records until its
+// process restarts. The VM should then announce itself as unhealthy.
+func (s *Store) Err() error {
+	if s.log == nil || s.log.Err() == nil {
+		return nil
+	}
+	return storeError("append", s.log.Err())
+}
+
 // Opened tells what was found when the store was opened.
 func (s *Store) Opened() shsegment.OpenReport { return s.opened }
 
--- a/transport/shaccount/store_test.go
+++ b/transport/shaccount/store_test.go
@@ -150,6 +150,7 @@
 	s := openFake(t, disk)
 	disk.set(func() { disk.failSync = true })
 	assert.Equal(t, KindOf(appendOne(t, s, 1, true, opened(1))), Failed)
+	assert.Equal(t, KindOf(s.Err()), Failed)
 	disk.set(func() { disk.failSync = false })
 	assert.Equal(t, KindOf(appendOne(t, s, 1, true, opened(1))), Failed)
 	assert.Equal(t, KindOf(appendOne(t, s, 2, false, opened(2))), Failed)
