--- /dev/null
+++ b/coordination/shlimit/budget_test.go
@@ -0,0 +1,40 @@
+package shlimit_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"sequoiahollow/coordination/shlimit"
+)
+
+// Guards against retries that multiply the load of a failing service.
+func TestShareBudgetBoundsExtraAttempts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := shlimit.RetryBudget(0)
+		at := start
+		requests, spent := 0, 0
+		for range rapid.IntRange(1, 500).Draw(t, "steps") {
+			at = at.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(at)
+				requests++
+			}
+			if b.Spend(at) {
+				spent++
+			}
+		}
+		allowed := float64(requests)*shlimit.DefaultRetryShare + at.Sub(start).Seconds()
+		assert.Assert(t, float64(spent) <= allowed+1e-6)
+		assert.Assert(t, float64(spent) >= allowed-21)
+	})
+	quiet := shlimit.HedgeBudget(0)
+	quiet.Request(start)
+	saved := 0
+	for quiet.Spend(start.Add(time.Hour)) {
+		saved++
+	}
+	assert.Equal(t, saved, 20)
+}
