Admit requests by deadline

A lookup that cannot be answered in time is refused at once, so that its caller can turn elsewhere. Once-only work waits in a queue of its own.

--- /dev/null
+++ b/coordination/shlimit/admission.go
@@ -0,0 +1,238 @@
+package shlimit
+
+import (
+	"slices"
+	"time"
+
+	"sequoiahollow/state/shmodel"
+)
+
+const (
+	// defaultMaxQueue is the length of each queue if it is not set.
+	defaultMaxQueue = 1000
+
+	// onceOnlyTurn is the number of starts after which waiting once-only work
+	// gets the next free slot, so that constant lookups do not starve it.
+	onceOnlyTurn = 5
+
+	// serviceWeight is the weight of a new service time in the average.
+	serviceWeight = 0.1
+)
+
+// Event is something that happens to an Admission. The set is closed.
+type Event interface{ event() }
+
+// Arrive reports a new request. Kind Idempotent is a lookup.
+type Arrive struct {
+	ID       shmodel.RequestID
+	Kind     shmodel.OperationKind
+	Deadline time.Time
+}
+
+// Finish reports that a started request freed its slot.
+type Finish struct{ ID shmodel.RequestID }
+
+// Abandon reports that the caller of a waiting request left. It does not
+// concern a request that was started.
+type Abandon struct{ ID shmodel.RequestID }
+
+// Resize sets the number of slots. Requests that run keep theirs.
+type Resize struct{ Slots int }
+
+// Tick lets time pass, so that requests are refused at their deadline.
+type Tick struct{}
+
+func (Arrive) event()  {}
+func (Finish) event()  {}
+func (Abandon) event() {}
+func (Resize) event()  {}
+func (Tick) event()    {}
+
+// Effect is what the caller of an Admission does. The set is closed.
+type Effect interface{ effect() }
+
+// Start gives a request a slot, which it holds until Finish.
+type Start struct{ ID shmodel.RequestID }
+
+// Refuse refuses a request, which did not run. Wait is the expected wait of a
+// new lookup.
+type Refuse struct {
+	ID     shmodel.RequestID
+	Reason RefuseReason
+	Wait   time.Duration
+}
+
+func (Start) effect()  {}
+func (Refuse) effect() {}
+
+// RefuseReason says why a request was refused.
+type RefuseReason string
+
+// Reasons of refusals.
+const (
+	// TooLate says that the request cannot be answered within its deadline.
+	TooLate RefuseReason = "too-late"
+	// QueueFull says that the queue of its kind is full.
+	QueueFull RefuseReason = "queue-full"
+)
+
+// Admission decides which requests run, wait or are refused. Lookups and
+// once-only work wait in separate queues, so that neither fills the queue of
+// the other. Lookups go first, but every fifth start is once-only work if some
+// waits. A lookup that would not be answered in time is refused at once;
+// once-only work is refused at its deadline.
+type Admission struct {
+	// MaxQueue bounds each queue; 0 selects 1,000.
+	MaxQueue int
+
+	slots    int
+	running  map[shmodel.RequestID]time.Time
+	lookups  []Arrive
+	onceOnly []Arrive
+	// turn counts starts of lookups while once-only work waits.
+	turn int
+	// service is the average time that a request holds a slot.
+	service time.Duration
+}
+
+// Handle takes an event and returns the effects in their order.
+func (a *Admission) Handle(now time.Time, e Event) []Effect {
+	var effects []Effect
+	switch e := e.(type) {
+	case Arrive:
+		effects = a.arrive(now, e)
+	case Finish:
+		a.finish(now, e.ID)
+	case Abandon:
+		a.abandon(e.ID)
+	case Resize:
+		a.slots = max(0, e.Slots)
+	case Tick:
+		effects = a.refuseLate(now)
+	}
+	return append(effects, a.startWaiting(now)...)
+}
+
+// Waiting returns the lengths of the queues.
+func (a *Admission) Waiting() (lookups, onceOnly int) { return len(a.lookups), len(a.onceOnly) }
+
+// ExpectedWait returns how long a new lookup would wait for a slot.
+func (a *Admission) ExpectedWait() time.Duration {
+	waiting := len(a.lookups)
+	if len(a.onceOnly) > 0 {
+		waiting += min(len(a.onceOnly), waiting/(onceOnlyTurn-1)+1)
+	}
+	if a.slots == 0 {
+		return a.service * time.Duration(waiting+1)
+	}
+	if len(a.running)+waiting < a.slots {
+		return 0
+	}
+	return a.service * time.Duration(waiting+1) / time.Duration(a.slots)
+}
+
+func (a *Admission) arrive(now time.Time, e Arrive) []Effect {
+	wait := a.ExpectedWait()
+	if !now.Before(e.Deadline) {
+		return []Effect{Refuse{ID: e.ID, Reason: TooLate, Wait: wait}}
+	}
+	queue := a.queue(e.Kind)
+	if len(*queue) >= a.maxQueue() {
+		return []Effect{Refuse{ID: e.ID, Reason: QueueFull, Wait: wait}}
+	}
+	// Without a wait the request runs even if it is expected to take too long:
+	// the average would otherwise never be corrected.
+	late := wait > 0 && now.Add(wait+a.service).After(e.Deadline)
+	if e.Kind != shmodel.OnceOnly && late {
+		return []Effect{Refuse{ID: e.ID, Reason: TooLate, Wait: wait}}
+	}
+	*queue = append(*queue, e)
+	return nil
+}
+
+func (a *Admission) finish(now time.Time, id shmodel.RequestID) {
+	started, ok := a.running[id]
+	if !ok {
+		return
+	}
+	delete(a.running, id)
+	took := now.Sub(started)
+	if a.service == 0 {
+		a.service = took
+	}
+	a.service += time.Duration(serviceWeight * float64(took-a.service))
+}
+
+func (a *Admission) abandon(id shmodel.RequestID) {
+	left := func(e Arrive) bool { return e.ID == id }
+	a.lookups = slices.DeleteFunc(a.lookups, left)
+	a.onceOnly = slices.DeleteFunc(a.onceOnly, left)
+}
+
+// refuseLate refuses waiting requests whose deadline passed.
+func (a *Admission) refuseLate(now time.Time) []Effect {
+	var effects []Effect
+	late := func(e Arrive) bool {
+		if now.Before(e.Deadline) {
+			return false
+		}
+		effects = append(effects, Refuse{ID: e.ID, Reason: TooLate, Wait: a.ExpectedWait()})
+		return true
+	}
+	a.lookups = slices.DeleteFunc(a.lookups, late)
+	a.onceOnly = slices.DeleteFunc(a.onceOnly, late)
+	return effects
+}
+
+// startWaiting fills free slots from the queues.
+func (a *Admission) startWaiting(now time.Time) []Effect {
+	var effects []Effect
+	for len(a.running) < a.slots {
+		e, ok := a.next()
+		if !ok {
+			break
+		}
+		if !now.Before(e.Deadline) {
+			effects = append(effects, Refuse{ID: e.ID, Reason: TooLate, Wait: a.ExpectedWait()})
+			continue
+		}
+		if a.running == nil {
+			a.running = map[shmodel.RequestID]time.Time{}
+		}
+		a.running[e.ID] = now
+		effects = append(effects, Start{ID: e.ID})
+	}
+	return effects
+}
+
+// next removes the request whose turn it is.
+func (a *Admission) next() (Arrive, bool) {
+	queue := &a.lookups
+	if len(a.onceOnly) > 0 {
+		a.turn++
+		if len(a.lookups) == 0 || a.turn >= onceOnlyTurn {
+			a.turn = 0
+			queue = &a.onceOnly
+		}
+	}
+	if len(*queue) == 0 {
+		return Arrive{}, false
+	}
+	e := (*queue)[0]
+	*queue = (*queue)[1:]
+	return e, true
+}
+
+func (a *Admission) queue(k shmodel.OperationKind) *[]Arrive {
+	if k == shmodel.OnceOnly {
+		return &a.onceOnly
+	}
+	return &a.lookups
+}
+
+func (a *Admission) maxQueue() int {
+	if a.MaxQueue <= 0 {
+		return defaultMaxQueue
+	}
+	return a.MaxQueue
+}
