--- /dev/null
+++ b/coordination/shdirectory/directory.go
@@ -0,0 +1,225 @@
+// Package shdirectory is the soft state about entry VMs: which of them are up,
+// where they are, how to reach them and how many slots they own.
+//
+// Entry VMs send a Heartbeat every 500 ms to a control VM. Each control VM
+// keeps a Directory and passes the news to the other control VMs; the order of
+// the heartbeats of one VM is its incarnation, then its sequence. A VM without
+// news for 2 s is removed. Entry VMs follow the Directory of one control VM
+// with a Follower and answer look-ups from it with Lookup.
+//
+// Times are passed in, with their monotonic reading. Messages carry ages, not
+// times, because the clocks of VMs differ.
+package shdirectory
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"sequoiahollow/state/shmodel"
+)
+
+const (
+	// HeartbeatInterval is the time between heartbeats of an entry VM.
+	HeartbeatInterval = 500 * time.Millisecond
+
+	// ExpireAfter is how long a VM is listed without news. It permits three
+	// lost heartbeats.
+	ExpireAfter = 2 * time.Second
+
+	// forgetAfter is how long a removed VM is remembered, so that an old
+	// heartbeat that another control VM passes on does not bring it back.
+	forgetAfter = 10 * time.Minute
+)
+
+// Heartbeat is the state of one entry VM.
+type Heartbeat struct {
+	VM    shmodel.VM    `json:"vm"`
+	Place shmodel.Place `json:"place"`
+	// Incarnation rises with each start of the process, Sequence with each
+	// heartbeat.
+	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	// Addresses are IP:port.
+	CallerAddress string `json:"callerAddress"`
+	ServerAddress string `json:"serverAddress"`
+	PeerAddress   string `json:"peerAddress"`
+	// Revision is the configuration revision in effect on the VM. It alone is
+	// no change for entry VMs: every edit would send them the whole list.
+	Revision uint64                    `json:"revision"`
+	Leaving  bool                      `json:"leaving,omitempty"`
+	Services map[shmodel.Service]Slots `json:"services,omitempty"`
+	// Age is the time since the VM sent the heartbeat, as far as known.
+	Age time.Duration `json:"age"`
+}
+
+// Slots is the slots that a VM owns for one service.
+type Slots struct {
+	Free  int `json:"free"`
+	Total int `json:"total"`
+}
+
+// Source identifies one life of a Directory. Versions of different sources
+// cannot be compared.
+type Source struct {
+	VM          shmodel.VM `json:"vm"`
+	Incarnation uint64     `json:"incarnation"`
+}
+
+// Delta is what changed in a Directory after version Since. If Whole is set it
+// replaces everything that was known.
+type Delta struct {
+	Source  Source       `json:"source"`
+	Since   uint64       `json:"since"`
+	Version uint64       `json:"version"`
+	Whole   bool         `json:"whole,omitempty"`
+	Present []Heartbeat  `json:"present,omitempty"`
+	Removed []shmodel.VM `json:"removed,omitempty"`
+}
+
+// Directory is the list of entry VMs on a control VM. Set Source once per
+// process. The zero value of the rest is an empty list.
+type Directory struct {
+	Source Source
+
+	version uint64
+	records map[shmodel.VM]*record
+	// changes orders the records by their last change, news by their last
+	// heartbeat.
+	changes journal
+	news    journal
+	// dropped is the version of the last removal that is forgotten.
+	dropped uint64
+}
+
+// record is the last state of a VM.
+type record struct {
+	heartbeat Heartbeat
+	// sentAt is when the heartbeat was sent, by the local clock.
+	sentAt    time.Time
+	removed   bool
+	removedAt time.Time
+}
+
+// Receive takes a heartbeat, from its VM or from another control VM. It
+// reports whether it was newer than what was known.
+func (d *Directory) Receive(now time.Time, h Heartbeat) bool {
+	if h.VM == "" || h.Age >= ExpireAfter {
+		return false
+	}
+	old := d.records[h.VM]
+	if old != nil && !newer(h, old.heartbeat) {
+		return false
+	}
+	r := &record{heartbeat: h, sentAt: now.Add(-max(0, h.Age))}
+	if d.records == nil {
+		d.records = map[shmodel.VM]*record{}
+	}
+	d.records[h.VM] = r
+	d.version++
+	d.news.touch(h.VM, d.version)
+	if old == nil || old.removed || !sameState(h, old.heartbeat) {
+		d.changes.touch(h.VM, d.version)
+	}
+	return true
+}
+
+// Expire removes VMs without news and returns them, sorted.
+func (d *Directory) Expire(now time.Time) []shmodel.VM {
+	var expired []shmodel.VM
+	for _, vm := range slices.Sorted(maps.Keys(d.records)) {
+		r := d.records[vm]
+		switch {
+		case !r.removed && now.Sub(r.sentAt) >= ExpireAfter:
+			expired = append(expired, vm)
+			d.remove(now, r)
+		case r.removed && now.Sub(r.removedAt) >= forgetAfter:
+			d.forget(vm)
+		}
+	}
+	return expired
+}
+
+func (d *Directory) remove(now time.Time, r *record) {
+	vm := r.heartbeat.VM
+	r.removed = true
+	r.removedAt = now
+	d.version++
+	d.changes.touch(vm, d.version)
+	d.news.remove(vm)
+}
+
+func (d *Directory) forget(vm shmodel.VM) {
+	d.dropped = max(d.dropped, d.changes.remove(vm))
+	delete(d.records, vm)
+}
+
+// Changes returns what an entry VM needs that knows version since of source.
+// Heartbeats that only confirm the state of a VM are no changes.
+func (d *Directory) Changes(now time.Time, source Source, since uint64) Delta {
+	if source != d.Source || since < d.dropped || since > d.version {
+		since = 0
+	}
+	delta := Delta{
+		Source:  d.Source,
+		Since:   since,
+		Version: d.version,
+		Whole:   since == 0,
+	}
+	for vm := range d.changes.after(since) {
+		r := d.records[vm]
+		switch {
+		case !r.removed:
+			delta.Present = append(delta.Present, r.aged(now))
+		case !delta.Whole:
+			delta.Removed = append(delta.Removed, vm)
+		}
+	}
+	return delta
+}
+
+// News returns every heartbeat after version since of source, for another
+// control VM. Removals are not included: each control VM decides them itself.
+func (d *Directory) News(now time.Time, source Source, since uint64) Delta {
+	if source != d.Source || since > d.version {
+		since = 0
+	}
+	delta := Delta{Source: d.Source, Since: since, Version: d.version}
+	for vm := range d.news.after(since) {
+		delta.Present = append(delta.Present, d.records[vm].aged(now))
+	}
+	return delta
+}
+
+// Merge takes the News of another control VM.
+func (d *Directory) Merge(now time.Time, news Delta) {
+	for _, h := range news.Present {
+		d.Receive(now, h)
+	}
+}
+
+func (r *record) aged(now time.Time) Heartbeat {
+	h := r.heartbeat
+	h.Age = max(0, now.Sub(r.sentAt))
+	return h
+}
+
+// newer reports whether a was sent after b by the same VM.
+func newer(a, b Heartbeat) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+// sameState reports whether a and b differ at most in sequence,
+// revision and age.
+func sameState(a, b Heartbeat) bool {
+	return a.Place == b.Place &&
+		a.Incarnation == b.Incarnation &&
+		a.CallerAddress == b.CallerAddress &&
+		a.ServerAddress == b.ServerAddress &&
+		a.PeerAddress == b.PeerAddress &&
+		a.Leaving == b.Leaving &&
+		maps.Equal(a.Services, b.Services)
+}
--- /dev/null
+++ b/coordination/shdirectory/follower.go
@@ -0,0 +1,74 @@
+package shdirectory
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"sequoiahollow/state/shmodel"
+)
+
+// Follower is the copy of a Directory on an entry VM. The zero value knows
+// nothing. It keeps the last list when no control VM can be reached, since an
+// entry VM goes on serving its region then; Stale tells.
+type Follower struct {
+	// Source and Version are what the next delta is asked for with.
+	Source  Source
+	Version uint64
+
+	entries map[shmodel.VM]Heartbeat
+	heardAt time.Time
+}
+
+// Apply takes the answer to a request for changes that was sent at askedAt. It
+// reports false, and changes nothing, if the delta does not continue what is
+// known, as with an answer that arrives late.
+func (f *Follower) Apply(askedAt time.Time, d Delta) bool {
+	if d.Source == f.Source && (d.Since > f.Version || d.Version < f.Version) {
+		return false
+	}
+	if d.Source != f.Source && (!d.Whole || askedAt.Before(f.heardAt)) {
+		return false
+	}
+	if d.Whole || f.entries == nil {
+		f.entries = map[shmodel.VM]Heartbeat{}
+	}
+	for _, vm := range d.Removed {
+		delete(f.entries, vm)
+	}
+	for _, h := range d.Present {
+		f.entries[h.VM] = h
+	}
+	f.Source = d.Source
+	f.Version = d.Version
+	if askedAt.After(f.heardAt) {
+		f.heardAt = askedAt
+	}
+	return true
+}
+
+// Stale reports whether no control VM answered for ExpireAfter.
+func (f *Follower) Stale(now time.Time) bool {
+	return f.heardAt.IsZero() || now.Sub(f.heardAt) >= ExpireAfter
+}
+
+// Entries returns the list sorted by VM. The caller owns the slice.
+func (f *Follower) Entries() []Heartbeat { return sorted(f.entries) }
+
+// Entries returns the list sorted by VM. The caller owns the slice.
+func (d *Directory) Entries(now time.Time) []Heartbeat {
+	present := map[shmodel.VM]Heartbeat{}
+	for vm, r := range d.records {
+		if !r.removed {
+			present[vm] = r.aged(now)
+		}
+	}
+	return sorted(present)
+}
+
+func sorted(entries map[shmodel.VM]Heartbeat) []Heartbeat {
+	return slices.SortedFunc(maps.Values(entries), func(a, b Heartbeat) int {
+		return strings.Compare(string(a.VM), string(b.VM))
+	})
+}
