--- a/coordination/shcontrol/command.go
+++ b/coordination/shcontrol/command.go
@@ -5,6 +5,10 @@
 // A Command goes in with the time that the leader stamped on it, and a Result
 // comes out. Applying the same commands in the same order gives the same state
 // on every replica.
+//
+// State.Apply applies a command, Snapshot and Restore copy a State, and its
+// other methods are views. EncodeCommand and EncodeResult give the JSON form of
+// the log and of messages. A GrantExpirer tells the leader which grants ended.
 package shcontrol
 
 import (
--- a/coordination/shcontrol/strikes.go
+++ b/coordination/shcontrol/strikes.go
@@ -38,7 +38,8 @@
 // suspect is the state of a digest with a strike. Crashes that it shared with
 // other digests count by backend server, because a report may be repeated.
 // They never quarantine by themselves: a digest that runs on many backend
-// servers at once would be refused for crashes that another one caused.
+// servers at once would be refused for crashes that another one caused. So
+// there is a solo run even if the limit is 1 or was reached by shared crashes.
 type suspect struct {
 	Shared []shmodel.BackendServer `json:"shared,omitempty"`
 	// Alone counts the crashes of the digest when nothing else ran.
--- a/coordination/shlimit/grant.go
+++ b/coordination/shlimit/grant.go
@@ -17,8 +17,8 @@
 	// that caches and backend servers of the other region warm up.
 	rampPeriod = time.Second
 
-	// renewLead is how long before a grant ends its successor is asked for. A
-	// commit takes about 100 ms; the rest allows for a change of leader.
+	// renewLead is how long before a grant ends its successor is asked for. It
+	// covers the time of about 1 s until a new leader commits.
 	renewLead = time.Second
 
 	// askInterval and refusedInterval separate asks after a grant and after an
