Show the revision in force of every VM in the status

Cause: the status listed the directory that an entry VM follows. Heartbeats that change nothing but the revision are left out of it on purpose, so the status showed the revision of the first heartbeat, 0, for ever, and an age that grew although the VM was up. Only control VMs knew the leader.

Ruled out: a VM that does not install the revision; the logs of all seven daemons had it in force.

Before: seven daemons, revision 0 each after an edit was in force everywhere. The wait for the revision in the fault tests of shdaemon fails without this change.

Conclusion: the quorum-confirmed read for the status also returns the directory and the name of the leader.

--- a/protocol/shwire/peer.go
+++ b/protocol/shwire/peer.go
@@ -42,6 +42,7 @@
 type ReadRequest struct {
 	History bool `json:"history,omitempty"`
 	Ranges  bool `json:"ranges,omitempty"`
+	Entries bool `json:"entries,omitempty"`
 }
 
 // ReadResponse is the replicated state that a read asked for.
@@ -51,6 +52,9 @@
 	History  []shcontrol.Revision `json:"history,omitempty"`
 	Ranges   []shrecord.Range     `json:"ranges,omitempty"`
 	Grants   []shcontrol.Grant    `json:"grants,omitempty"`
+	// Entries is the directory of the leader, which is soft state.
+	Entries []shdirectory.Heartbeat `json:"entries,omitempty"`
+	Leader  shmodel.VM              `json:"leader,omitempty"`
 }
 
 // SyncRequest is the heartbeat of an entry VM with what it knows already.
--- a/transport/shdaemon/operations.go
+++ b/transport/shdaemon/operations.go
@@ -99,14 +99,18 @@
 func (o operations) Status(ctx context.Context) (shoperator.Status, error) {
 	v := o.syncer.View()
 	status := shoperator.Status{Revision: v.Revision}
-	r, err := o.proposer.Read(ctx, shwire.ReadRequest{})
+	entries := v.Entries
+	r, err := o.proposer.Read(ctx, shwire.ReadRequest{Entries: true})
 	if err == nil {
 		status.Revision = r.Revision
+		// Entry VMs are not told of heartbeats that change nothing but the
+		// revision.
+		entries = r.Entries
 	}
 	listed := map[shmodel.VM]bool{}
-	for _, h := range v.Entries {
+	for _, h := range entries {
 		listed[h.VM] = true
-		status.Daemons = append(status.Daemons, o.daemonStatus(v, h))
+		status.Daemons = append(status.Daemons, o.daemonStatus(v, h, r.Leader))
 	}
 	for _, p := range o.settings.Peers {
 		if !listed[p.VM] {
@@ -118,17 +122,16 @@
 	return status, nil
 }
 
-func (o operations) daemonStatus(v *shview.View, h shdirectory.Heartbeat) shoperator.Daemon {
+func (o operations) daemonStatus(v *shview.View, h shdirectory.Heartbeat, leader shmodel.VM) shoperator.Daemon {
 	roles := []shsettings.Role{shsettings.Entry}
 	for _, p := range o.settings.Peers {
 		if p.VM == h.VM {
 			roles = p.Roles
 		}
 	}
-	leader := o.replica != nil && o.replica.Status().Leader.VM == h.VM
 	return shoperator.Daemon{
 		VM: h.VM, Region: h.Place.Region, FailureDomain: h.Place.FailureDomain, Roles: roles, Revision: h.Revision,
-		AgeMS: h.Age.Milliseconds(), Leader: leader, Leaving: h.Leaving,
+		AgeMS: h.Age.Milliseconds(), Leader: leader == h.VM, Leaving: h.Leaving,
 		Draining: slices.Contains(v.Drains.VMs, h.VM) || slices.Contains(v.Drains.Regions, h.Place.Region),
 	}
 }
--- a/transport/shreplica/replica.go
+++ b/transport/shreplica/replica.go
@@ -93,15 +93,6 @@
 	return r.store.Close()
 }
 
-// Entries returns the directory of entry VMs.
-func (r *Replica) Entries() []shdirectory.Heartbeat {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	r.directory.Expire(now)
-	return r.directory.Entries(now)
-}
-
 // machine adapts the replicated state to shstore.
 type machine struct{ *Replica }
 
@@ -168,6 +159,12 @@
 		if q.Ranges {
 			a.Ranges = r.state.Ranges()
 		}
+		if q.Entries {
+			now := time.Now()
+			r.directory.Expire(now)
+			a.Entries = r.directory.Entries(now)
+			a.Leader = r.config.VM
+		}
 	})
 	return a, err
 }
