Record attempts that were not sent

Cause: a receiver numbers every attempt but recorded only those that were sent. After a forward to a VM that had just stopped or died, the account had attempt 2 without attempt 1, and the verification reported a missing record.

Ruled out: records lost with a killed VM, since the finding also came up after a planned stop that copied all records.

Conclusion: one record per attempt, as the design says. The check of the numbers stays as strict as it was.

--- a/coordination/shrequest/machine_test.go
+++ b/coordination/shrequest/machine_test.go
@@ -223,6 +223,18 @@
 	has[RefuseCaller](t, out)
 }
 
+// Guards against a gap in the numbers of the records after an attempt that was
+// not sent, which a verification takes for a lost record.
+func TestEveryAttemptHasRecord(t *testing.T) {
+	r := attempted(t, shmodel.Idempotent)
+	out := r.Apply(at(ms), AttemptResult{Attempt: 1, Result: ConnectionRefused{}})
+	assert.Equal(t, has[WriteRecord](t, out).Record.Attempt, uint32(1))
+	assert.Equal(t, has[WriteRecord](t, out).Record.Outcome, shmodel.NotRun)
+	r.Apply(at(ms), ChoiceMade{ID: has[Choose](t, out).ID, Choice: shrouting.ServeOwn{}})
+	out = r.Apply(at(2*ms), executedAs(2, Execution{Outcome: shmodel.Answered, Dispatched: true}))
+	assert.Equal(t, has[WriteRecord](t, out).Record.Attempt, uint32(2))
+}
+
 // Guards against hedges that are not cancelled, or whose late answer is told.
 func TestHedge(t *testing.T) {
 	r := attempted(t, shmodel.Idempotent)
--- a/coordination/shrequest/receiver.go
+++ b/coordination/shrequest/receiver.go
@@ -271,10 +271,11 @@
 	}
 	x := classify(e.Result)
 	a.state = stateOf(x.Outcome)
-	var out []Effect
+	// An attempt that was not sent has a record too: attempts are numbered
+	// without gaps, so that a lost record shows.
+	out := []Effect{r.attemptRecord(now, e.Attempt, x)}
 	if x.Dispatched {
 		r.sent++
-		out = append(out, r.attemptRecord(now, e.Attempt, x))
 	}
 	if x.Outcome == shmodel.Answered {
 		return append(out, r.answer(now, e.Attempt, x)...)
