--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -41,6 +41,10 @@
 	initialReserve     = 0.2
 )
 
+// listen opens the listeners of a process. Tests replace it to listen behind a
+// relay at the advertised address.
+var listen = net.Listen
+
 // daemon is the running process.
 type daemon struct {
 	settings    shsettings.Settings
@@ -166,7 +170,7 @@
 
 // serve starts the loops and listeners.
 func (d *daemon) serve(ctx context.Context) error {
-	peers, err := net.Listen("tcp", d.settings.PeerAddress)
+	peers, err := listen("tcp", d.settings.PeerAddress)
 	if err != nil {
 		return err
 	}
@@ -343,7 +347,7 @@
 }
 
 func (h *httpServers) serve(name, address string, handler http.Handler) error {
-	l, err := net.Listen("tcp", address)
+	l, err := listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("%s address: %w", name, err)
 	}
--- /dev/null
+++ b/transport/shdaemon/main_test.go
@@ -0,0 +1,68 @@
+package shdaemon
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"testing"
+
+	"sequoiahollow/state/shsettings"
+)
+
+const (
+	// settingsVariable makes the test binary run a daemon in place of tests.
+	settingsVariable = "SHDAEMON_TEST_SETTINGS"
+	// relayedVariable makes that daemon listen behind relays.
+	relayedVariable = "SHDAEMON_TEST_RELAYED"
+	// relayedPorts is the distance from the port of a relay to that of a daemon.
+	relayedPorts = 1000
+)
+
+func TestMain(m *testing.M) {
+	if file := os.Getenv(settingsVariable); file != "" {
+		os.Exit(runDaemon(file))
+	}
+	os.Exit(m.Run())
+}
+
+// runDaemon runs until SIGTERM. It ends at once when standard input is closed,
+// so that it does not outlive the test.
+func runDaemon(file string) int {
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(3)
+	}()
+	if os.Getenv(relayedVariable) != "" {
+		listen = func(network, address string) (net.Listener, error) {
+			return net.Listen(network, behindRelay(address))
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	settings, err := shsettings.Load(file)
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("vm", settings.VM)
+	if err == nil {
+		err = Run(ctx, settings, log)
+	}
+	if err != nil {
+		log.Error("daemon ended", "error", err)
+		return 1
+	}
+	return 0
+}
+
+// behindRelay returns where a daemon listens whose advertised address is that
+// of a relay. Callers and operators connect without one.
+func behindRelay(address string) string {
+	host, port, err := net.SplitHostPort(address)
+	n, _ := strconv.Atoi(port)
+	if err != nil || (n != serverPort && n != peerPort) {
+		return address
+	}
+	return net.JoinHostPort(host, strconv.Itoa(n+relayedPorts))
+}
--- /dev/null
+++ b/transport/shdaemon/relay_test.go
@@ -0,0 +1,161 @@
+package shdaemon
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"regexp"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/state/shmodel"
+)
+
+// endpoint is one end of a relayed connection. VM is empty for HTTP clients, of
+// which only the region is known.
+type endpoint struct {
+	vm     shmodel.VM
+	region shmodel.Region
+}
+
+// network is the relays of a deployment. A held direction passes nothing on and
+// breaks nothing; what was held arrives when the fault is lifted.
+type network struct {
+	// known finds the VM of a peer address.
+	known map[string]endpoint
+	done  chan struct{}
+
+	mu   sync.Mutex
+	held func(from, to endpoint) bool
+}
+
+// hold replaces the fault; nil lifts it.
+func (n *network) hold(held func(from, to endpoint) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held = held
+}
+
+// around holds what enters or leaves a set of endpoints.
+func around(inside func(endpoint) bool) func(from, to endpoint) bool {
+	return func(from, to endpoint) bool { return inside(from) != inside(to) }
+}
+
+// wait returns when a piece of data may pass, false at the end of the test.
+func (n *network) wait(from, to endpoint) bool {
+	pause := time.Duration(0)
+	for {
+		select {
+		case <-n.done:
+			return false
+		case <-time.After(pause):
+		}
+		n.mu.Lock()
+		held := n.held != nil && n.held(from, to)
+		n.mu.Unlock()
+		if !held {
+			return true
+		}
+		pause = 5 * time.Millisecond
+	}
+}
+
+// relay accepts at the advertised address of a VM until the test ends.
+func (n *network) relay(t *testing.T, address string, to endpoint, source func(net.Conn) ([]byte, endpoint)) {
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				head, from := source(client)
+				server, err := net.Dial("tcp", behindRelay(address))
+				if err != nil {
+					_ = client.Close()
+					return
+				}
+				go n.pump(client, server, to, from)
+				n.pump(server, io.MultiReader(bytes.NewReader(head), client), from, to)
+			}()
+		}
+	}()
+}
+
+func (n *network) pump(target net.Conn, source io.Reader, from, to endpoint) {
+	buffer := make([]byte, 64<<10)
+	for {
+		count, err := source.Read(buffer)
+		if !n.wait(from, to) || err != nil {
+			_ = target.Close()
+			return
+		}
+		if _, err := target.Write(buffer[:count]); err != nil {
+			return
+		}
+	}
+}
+
+// peerSource reads up to the ping in which a jsonrpc2 client states its address.
+func (n *network) peerSource(c net.Conn) ([]byte, endpoint) {
+	var head []byte
+	for {
+		frame := make([]byte, 4)
+		if _, err := io.ReadFull(c, frame); err != nil {
+			return head, endpoint{}
+		}
+		frame = append(frame, make([]byte, binary.BigEndian.Uint32(frame))...)
+		if _, err := io.ReadFull(c, frame[4:]); err != nil {
+			return head, endpoint{}
+		}
+		head = append(head, frame...)
+		var m struct {
+			Method string
+			Params struct{ Address string }
+		}
+		if json.Unmarshal(frame[4:], &m) == nil && m.Method == "peer.ping" {
+			return head, n.known[m.Params.Address]
+		}
+	}
+}
+
+var forwardHeader = regexp.MustCompile(`(?i)` + headerForward + `: (\S+)\r\n`)
+
+// httpSource reads the region of a forwarded request. Backend servers announce
+// in their own region only.
+func httpSource(own shmodel.Region) func(net.Conn) ([]byte, endpoint) {
+	return func(c net.Conn) ([]byte, endpoint) {
+		head := make([]byte, 0, 64<<10)
+		for !bytes.Contains(head, []byte("\r\n\r\n")) && len(head) < cap(head) {
+			count, err := c.Read(head[len(head):cap(head)])
+			head = head[:len(head)+count]
+			if err != nil {
+				break
+			}
+		}
+		if x := forwardHeader.FindSubmatch(head); x != nil {
+			var f forwardedFrom
+			data, _ := base64.StdEncoding.DecodeString(string(x[1]))
+			if json.Unmarshal(data, &f) == nil {
+				return head, endpoint{region: f.From}
+			}
+		}
+		return head, endpoint{region: own}
+	}
+}
+
+// headerForward and forwardedFrom are parts of the messages between entry VMs.
+const headerForward = "Sequoiahollow-Forward"
+
+type forwardedFrom struct {
+	From shmodel.Region `json:"from"`
+}
