--- a/transport/shlog/format.go
+++ b/transport/shlog/format.go
@@ -96,7 +96,7 @@
 	return size
 }
 
-func (f frame) encode(salt uint64) []byte {
+func (f frame) encode(salt uint64, offset int64) []byte {
 	body := bodyBytes(f.records)
 	b := make([]byte, 0, frameBytes+body)
 	b = binary.LittleEndian.AppendUint32(b, frameMagic)
@@ -108,22 +108,24 @@
 		b = binary.LittleEndian.AppendUint32(b, uint32(len(r)))
 		b = append(b, r...)
 	}
-	binary.LittleEndian.PutUint32(b[20:], frameChecksum(b, salt))
+	binary.LittleEndian.PutUint32(b[20:], frameChecksum(b, salt, offset))
 	return b
 }
 
-// frameChecksum covers the salt and the frame except the checksum itself.
-func frameChecksum(b []byte, salt uint64) uint32 {
-	var s [8]byte
+// frameChecksum covers the salt, the offset of the frame in its segment, and the
+// frame except the checksum itself.
+func frameChecksum(b []byte, salt uint64, offset int64) uint32 {
+	var s [16]byte
 	binary.LittleEndian.PutUint64(s[:], salt)
+	binary.LittleEndian.PutUint64(s[8:], uint64(offset))
 	sum := crc32.Checksum(s[:], castagnoli)
 	sum = crc32.Update(sum, castagnoli, b[:20])
 	return crc32.Update(sum, castagnoli, b[frameBytes:])
 }
 
-// decodeFrame decodes the frame at the start of b and returns its size. The
-// records share memory with b.
-func decodeFrame(b []byte, salt uint64) (frame, int, error) {
+// decodeFrame decodes the frame at the start of b, which is at the given offset
+// of its segment, and returns its size. The records share memory with b.
+func decodeFrame(b []byte, salt uint64, offset int64) (frame, int, error) {
 	if len(b) < frameBytes {
 		return frame{}, 0, errors.New("frame is incomplete")
 	}
@@ -135,7 +137,7 @@
 		return frame{}, 0, errors.New("frame is incomplete")
 	}
 	b = b[:size]
-	if binary.LittleEndian.Uint32(b[20:]) != frameChecksum(b, salt) {
+	if binary.LittleEndian.Uint32(b[20:]) != frameChecksum(b, salt, offset) {
 		return frame{}, 0, errChecksum
 	}
 	f := frame{first: binary.LittleEndian.Uint64(b[8:])}
@@ -151,11 +153,11 @@
 	return f, int(size), nil
 }
 
-// findFrame returns the offset in b of the first intact frame at or after from,
-// or -1.
+// findFrame returns the offset of the first intact frame at or after from in the
+// segment b, or -1.
 func findFrame(b []byte, from int, salt uint64) int {
 	for i := from; i+frameBytes <= len(b); i++ {
-		if _, _, err := decodeFrame(b[i:], salt); err == nil {
+		if _, _, err := decodeFrame(b[i:], salt, int64(i)); err == nil {
 			return i
 		}
 	}
--- a/transport/shlog/log.go
+++ b/transport/shlog/log.go
@@ -101,7 +101,7 @@
 	}
 	offset := headerBytes
 	for offset < len(content) {
-		f, size, err := decodeFrame(content[offset:], h.salt)
+		f, size, err := decodeFrame(content[offset:], h.salt, int64(offset))
 		if err != nil {
 			if !last || findFrame(content, offset+1, h.salt) >= 0 {
 				return damaged(op, path, int64(offset), err)
@@ -258,7 +258,7 @@
 	}
 	s := &l.segments[len(l.segments)-1]
 	f := frame{first: first, records: records}
-	encoded := f.encode(s.header.salt)
+	encoded := f.encode(s.header.salt, l.size)
 	if _, err := l.file.WriteAt(encoded, l.size); err != nil {
 		return l.undo(op, err)
 	}
@@ -441,7 +441,7 @@
 	if _, err := r.file.ReadAt(b, at.offset); err != nil {
 		return frame{}, damaged(op, path, at.offset, err)
 	}
-	f, _, err := decodeFrame(b, r.segment.header.salt)
+	f, _, err := decodeFrame(b, r.segment.header.salt, at.offset)
 	if err != nil {
 		return frame{}, damaged(op, path, at.offset, err)
 	}
--- a/transport/shlog/scan.go
+++ b/transport/shlog/scan.go
@@ -78,7 +78,7 @@
 	}
 	offset := headerBytes
 	for offset < len(content) {
-		frame, size, err := decodeFrame(content[offset:], h.salt)
+		frame, size, err := decodeFrame(content[offset:], h.salt, int64(offset))
 		if err != nil {
 			end := findFrame(content, offset+1, h.salt)
 			if end < 0 {
--- a/transport/shlog/shlog.go
+++ b/transport/shlog/shlog.go
@@ -9,9 +9,9 @@
 // replaces the records from that index on, which makes the replacement of a
 // suffix as atomic as an append.
 //
-// A segment is a file that starts with a header. The header holds a random salt
-// that seeds the checksums of its frames, so that the content of records cannot
-// pass for a frame.
+// A segment is a file that starts with a header. The checksum of a frame covers
+// a random salt from the header and the offset of the frame, so that the content
+// of a record cannot pass for a frame.
 //
 // # Damage
 //
