Ignore answers to messages of an earlier term of the leader

A member that refuses a message of an old term returned its stamp. If the sender led again in the member's term, that stamp confirmed reads and quorum contact that never took place. The fault runs now also freeze processes.

--- a/coordination/shraft/history_test.go
+++ b/coordination/shraft/history_test.go
@@ -168,7 +168,7 @@
 	}
 	s.after(s.between(200*time.Millisecond, 1500*time.Millisecond), func() { s.fault(until) })
 	a, b := s.rng.IntN(len(s.hosts)), s.rng.IntN(len(s.hosts))
-	switch s.rng.IntN(9) {
+	switch s.rng.IntN(10) {
 	case 0:
 		s.cut[[2]int{a, b}] = true
 	case 1:
@@ -189,10 +189,20 @@
 	case 8:
 		if l := s.leader(); l != nil {
 			l.step(shraft.Transfer{})
+			// A process that stands still here wakes up as a former leader.
+			s.after(s.between(0, 100*time.Millisecond), func() { s.freeze(l) })
+		}
+	case 9:
+		if l := s.leader(); l != nil {
+			s.freeze(l)
 		}
 	}
 }
 
+func (s *sim) freeze(h *host) {
+	h.frozen = s.now.Add(s.between(500*time.Millisecond, 3*time.Second))
+}
+
 // crashSoon crashes a host within the next few effects.
 func (s *sim) crashSoon(h *host) {
 	h.crashIn = s.rng.IntN(8)
--- a/coordination/shraft/leader.go
+++ b/coordination/shraft/leader.go
@@ -179,7 +179,7 @@
 // heard records an answer and returns the sender's progress, nil if it is not a
 // member.
 func (n *Node) heard(from ID, a Answer) *progress {
-	if n.lead == nil {
+	if n.lead == nil || a.Round == 0 {
 		return nil
 	}
 	p := n.lead.members[from]
--- a/coordination/shraft/message.go
+++ b/coordination/shraft/message.go
@@ -18,8 +18,9 @@
 // Body is the content of a Message. The set is closed.
 type Body interface{ body() }
 
-// Stamp marks the messages of a leader, which get it back in the answer. Round
-// counts heartbeats; Sent is the leader's clock, since its start.
+// Stamp marks the messages of a leader, who gets it back in the answer. Round
+// counts heartbeats in the leader's term, from 1; Sent is the leader's clock,
+// since its start.
 type Stamp struct {
 	Round uint64        `json:"round"`
 	Sent  time.Duration `json:"sent"`
@@ -74,7 +75,8 @@
 // AppendResponse answers an AppendRequest or a finished snapshot. Unless it is
 // rejected, the receiver's log matches the leader's up to Index. If it is,
 // Index is the rejected PrevIndex, and no entry after Hint can match; HintTerm
-// is the term of the receiver's entry at Hint.
+// is the term of the receiver's entry at Hint. Without a Stamp it only tells a
+// former leader about a newer term.
 type AppendResponse struct {
 	Answer
 	Index    uint64 `json:"index"`
--- a/coordination/shraft/node.go
+++ b/coordination/shraft/node.go
@@ -230,10 +230,10 @@
 	switch b := m.Body.(type) {
 	case VoteRequest:
 		n.send(m.From, VoteResponse{Pre: b.Pre})
-	case AppendRequest:
-		n.send(m.From, AppendResponse{Answer: n.answer(b.Contact), Index: b.PrevIndex, Rejected: true})
-	case SnapshotRequest:
-		n.send(m.From, AppendResponse{Answer: n.answer(b.Contact), Index: b.Index, Rejected: true})
+	case AppendRequest, SnapshotRequest:
+		// The stamp is not returned: by now the sender may lead in this node's
+		// term, where the stamp of an earlier term would confirm reads.
+		n.send(m.From, AppendResponse{Rejected: true})
 	}
 }
 
--- a/coordination/shraft/sim_test.go
+++ b/coordination/shraft/sim_test.go
@@ -79,6 +79,7 @@
 	stored   shraft.Stored // what is synced
 	node     *shraft.Node  // nil while crashed
 	crashIn  int           // effects until a crash, negative for none
+	frozen   time.Time     // the process does not run until then
 	register string
 	applied  uint64
 	ops      map[uint64]*operation // by token
@@ -193,6 +194,16 @@
 	if h.node == nil {
 		return
 	}
+	if wait := h.frozen.Sub(h.sim.now); wait > 0 {
+		// What waits is handled in any order once the process runs again.
+		start := h.starts
+		h.sim.after(wait+h.sim.between(0, simTick), func() {
+			if h.starts == start {
+				h.step(ev)
+			}
+		})
+		return
+	}
 	h.carryOut(h.node.Step(h.time(), ev))
 	if h.node != nil && h.applied-h.stored.Snapshot.Index >= compactEvery {
 		h.carryOut(h.node.Step(h.time(), shraft.Compact{Index: h.applied, Data: []byte(h.register)}))
@@ -314,7 +325,7 @@
 	if len(s.membership.Voters) == len(s.hosts) {
 		s.seen["repair"]++
 		// A second VM is lost right after a repair.
-		if s.now.Before(s.faultsEnd) && s.chance(0.5) {
+		if s.now.Before(s.faultsEnd) && s.chance(0.8) {
 			s.seen["loss after repair"]++
 			s.after(s.between(0, 50*time.Millisecond), s.loseSomeDisk)
 		}
