--- a/transport/shpeer/server.go
+++ b/transport/shpeer/server.go
@@ -148,8 +148,10 @@
 	}
 	go func() {
 		defer h.server.active.Done()
-		defer func() { <-h.server.slots }()
 		result, err := h.run(ctx, r)
+		// The place is free before the caller learns the answer, so that its next
+		// call finds one.
+		<-h.server.slots
 		h.answer(ctx, conn, r, result, err)
 	}()
 }
--- /dev/null
+++ b/transport/shpeer/shpeer_test.go
@@ -0,0 +1,289 @@
+package shpeer_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/transport/shpeer"
+)
+
+// patience bounds waits of tests; it is reached only if something is broken.
+const patience = 20 * time.Second
+
+type text struct {
+	Text string `json:"text"`
+}
+
+// pair starts a server on loopback and a client, and returns the address.
+func pair(t *testing.T, config shpeer.Config) (*shpeer.Server, *shpeer.Client, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := shpeer.NewServer(config)
+	go s.Serve(l)
+	c := shpeer.NewClient(config)
+	t.Cleanup(func() {
+		assert.NilError(t, c.Close())
+		assert.NilError(t, s.Close())
+	})
+	shpeer.Handle(s, "echo", func(_ context.Context, req text) (text, error) { return req, nil })
+	return s, c, l.Addr().String()
+}
+
+func echo(ctx context.Context, c *shpeer.Client, address, message string) (string, error) {
+	resp, err := shpeer.Call[text](ctx, c, address, "echo", text{message})
+	return resp.Text, err
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+func assertKind(t *testing.T, err error, want shpeer.Kind) *shpeer.Error {
+	t.Helper()
+	e, ok := errors.AsType[*shpeer.Error](err)
+	assert.Assert(t, ok, "%v", err)
+	assert.Equal(t, e.Kind, want, "%v", err)
+	return e
+}
+
+// notLeader is an error of another package.
+type notLeader struct{ address string }
+
+func (notLeader) Error() string         { return "not the leader" }
+func (notLeader) WireKind() shpeer.Kind { return "not-leader" }
+func (n notLeader) WireData() any       { return text{n.address} }
+
+// Guards against errors that lose their kind or data on the way.
+func TestErrors(t *testing.T) {
+	s, c, address := pair(t, shpeer.Config{MaxMessageBytes: 1000, MaxCalls: 1})
+	started, release := make(chan struct{}), make(chan struct{})
+	errs := map[string]error{
+		"plain": errors.New("no luck"),
+		"wire":  notLeader{"10.0.0.1:7000"},
+		"own":   &shpeer.Error{Op: "own", Kind: "odd", Err: errors.New("strange"), Data: []byte(`7`)},
+	}
+	for method, err := range errs {
+		shpeer.Handle(s, method, func(context.Context, text) (text, error) { return text{}, err })
+	}
+	shpeer.Handle(s, "big", func(context.Context, text) (text, error) { return text{strings.Repeat("x", 2000)}, nil })
+	shpeer.Handle(s, "block", func(context.Context, text) (text, error) {
+		close(started)
+		<-release
+		return text{}, nil
+	})
+	call := func(method string) error {
+		_, err := shpeer.Call[text](within(t, patience), c, address, method, text{})
+		return err
+	}
+	assert.ErrorContains(t, assertKind(t, call("plain"), shpeer.KindFailed), "no luck")
+	e := assertKind(t, call("wire"), "not-leader")
+	assert.Equal(t, string(e.Data), `{"text":"10.0.0.1:7000"}`)
+	assert.Equal(t, string(assertKind(t, call("own"), "odd").Data), "7")
+	assertKind(t, call("missing"), shpeer.KindMethod)
+	assertKind(t, call("big"), shpeer.KindTooLarge)
+	_, err := echo(within(t, patience), c, address, strings.Repeat("x", 2000))
+	assertKind(t, err, shpeer.KindTooLarge)
+	_, err = shpeer.Call[int](within(t, patience), c, address, "echo", text{"not a number"})
+	assertKind(t, err, shpeer.KindInvalid)
+
+	t.Run("bounded calls", func(t *testing.T) {
+		blocked := make(chan error, 1)
+		go func() { blocked <- call("block") }()
+		<-started
+		assertKind(t, call("plain"), shpeer.KindBusy)
+		other := shpeer.NewClient(shpeer.Config{})
+		defer other.Close()
+		_, err := echo(within(t, patience), other, address, "x")
+		assertKind(t, err, shpeer.KindBusy)
+		close(release)
+		assert.NilError(t, <-blocked)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		assert.NilError(t, l.Close())
+		_, err = echo(within(t, patience), c, l.Addr().String(), "x")
+		assertKind(t, err, shpeer.KindUnreachable)
+	})
+}
+
+// proxy passes connections on to a server until it is told to go silent: then
+// existing connections stay open and carry nothing, and new ones work.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu     sync.Mutex
+	silent []chan struct{}
+	count  int
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p := &proxy{listener: l, target: target}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.pass(c)
+		}
+	}()
+	return p
+}
+
+func (p *proxy) pass(c net.Conn) {
+	up, err := net.Dial("tcp", p.target)
+	if err != nil {
+		c.Close()
+		return
+	}
+	silent := make(chan struct{})
+	p.mu.Lock()
+	p.silent = append(p.silent, silent)
+	p.count++
+	p.mu.Unlock()
+	for _, direction := range [][2]net.Conn{{c, up}, {up, c}} {
+		go func() {
+			io.Copy(gate{direction[0], silent}, direction[1])
+			direction[0].Close()
+			direction[1].Close()
+		}()
+	}
+}
+
+type gate struct {
+	to     io.Writer
+	silent chan struct{}
+}
+
+func (g gate) Write(p []byte) (int, error) {
+	select {
+	case <-g.silent:
+		return len(p), nil
+	default:
+		return g.to.Write(p)
+	}
+}
+
+func (p *proxy) goSilent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.silent {
+		close(s)
+	}
+	p.silent = nil
+}
+
+// Guards against calls that hang on a connection that went silent, and against a
+// client that keeps using it.
+func TestSilentConnection(t *testing.T) {
+	config := shpeer.Config{Connections: 1, Ping: 50 * time.Millisecond, Silence: 400 * time.Millisecond}
+	_, c, address := pair(t, config)
+	p := newProxy(t, address)
+	through := p.listener.Addr().String()
+	eventually(t, "first call", func() bool {
+		_, err := echo(within(t, patience), c, through, "x")
+		return err == nil
+	})
+	p.goSilent()
+	_, err := echo(within(t, 20*time.Millisecond), c, through, "x")
+	assertKind(t, err, shpeer.KindTimeout)
+	_, err = echo(within(t, patience), c, through, "x")
+	if err != nil {
+		assertKind(t, err, shpeer.KindClosed)
+	}
+	eventually(t, "new connection", func() bool {
+		got, err := echo(within(t, patience), c, through, "again")
+		return err == nil && got == "again"
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Assert(t, p.count > 1)
+}
+
+// Guards against a dial to an address that does not answer, or a peer that reads
+// nothing, that outlasts the deadline of the call.
+func TestDeadline(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	c := shpeer.NewClient(shpeer.Config{})
+	defer c.Close()
+	// The listener never accepts, so the message fills the buffers and blocks.
+	_, err = echo(within(t, 50*time.Millisecond), c, l.Addr().String(), strings.Repeat("x", 15<<20))
+	// On a busy machine the deadline passes before there is a connection.
+	assert.Assert(t, slices.Contains([]shpeer.Kind{shpeer.KindTimeout, shpeer.KindUnreachable}, shpeer.KindOf(err)), "%v", err)
+	err = shpeer.Notify(within(t, 50*time.Millisecond), c, l.Addr().String(), "echo", text{strings.Repeat("x", 15<<20)})
+	assert.Assert(t, err != nil)
+}
+
+// Guards against a handler that goes on after its caller gave up.
+func TestHandlerDeadline(t *testing.T) {
+	s, c, address := pair(t, shpeer.Config{})
+	ended := make(chan error, 1)
+	shpeer.Handle(s, "wait", func(ctx context.Context, _ text) (text, error) {
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return text{}, ctx.Err()
+	})
+	_, err := shpeer.Call[text](within(t, 50*time.Millisecond), c, address, "wait", text{})
+	assert.Assert(t, err != nil)
+	assert.Assert(t, errors.Is(<-ended, context.DeadlineExceeded))
+}
+
+// Guards against notifications that overtake each other, and traffic that counts
+// under no address or the wrong one.
+func TestNotificationsAndTraffic(t *testing.T) {
+	received := make(chan string, 1000)
+	traffic := new(shpeer.Traffic)
+	s, _, address := pair(t, shpeer.Config{Traffic: traffic})
+	shpeer.Handle(s, "note", func(_ context.Context, m text) (text, error) {
+		received <- m.Text
+		return text{}, nil
+	})
+	own := new(shpeer.Traffic)
+	c := shpeer.NewClient(shpeer.Config{Self: "10.0.0.9:7000", Traffic: own})
+	defer c.Close()
+	var want, got []string
+	for i := range 500 {
+		m := strings.Repeat("x", i)
+		want = append(want, m)
+		assert.NilError(t, shpeer.Notify(within(t, patience), c, address, "note", text{m}))
+	}
+	for range want {
+		got = append(got, <-received)
+	}
+	assert.Assert(t, slices.Equal(got, want))
+	const least = 500 * 499 / 2
+	sent := own.Snapshot()[address]
+	assert.Assert(t, sent.Sent > least && sent.Received > 0, "%+v", sent)
+	counted := traffic.Snapshot()["10.0.0.9:7000"]
+	assert.Assert(t, counted.Received > least && counted.Sent > 0, "%+v", counted)
+}
