Make sure that a failed read does not run later

A caller that got an error went on while the owner goroutine could still run its function, which raced for captured variables.

--- a/transport/shstore/call.go
+++ b/transport/shstore/call.go
@@ -43,6 +43,8 @@
 const (
 	callQueued int32 = iota
 	callTaken
+	// callRunning says that call.run runs or has run.
+	callRunning
 	callAbandoned
 )
 
@@ -58,14 +60,12 @@
 	}
 }
 
-// lostKind is the kind of error of a call that was taken and did not finish.
+// lostKind is the kind of error of a call that was taken when the store stopped.
 func (c *call) lostKind() Kind {
-	switch c.kind {
-	case callRead, callOwner:
-		return KindTimeout
-	default:
-		return KindUnknown
+	if c.run != nil {
+		return KindClosed
 	}
+	return KindUnknown
 }
 
 // submit queues a call and waits for its outcome.
@@ -90,17 +90,38 @@
 	case <-ctx.Done():
 	case <-s.done:
 	}
-	if c.state.CompareAndSwap(callQueued, callAbandoned) {
+	if c.abandon() {
 		if err := ctx.Err(); err != nil {
 			return nil, newError(c.op, KindTimeout, err)
 		}
 		return nil, stopped
 	}
+	if c.run != nil {
+		// The owner is running it, and the caller must not go on meanwhile.
+		o := <-c.result
+		return o.data, o.err
+	}
 	select {
 	case o := <-c.result:
 		return o.data, o.err
 	default:
-		return nil, newError(c.op, c.lostKind(), errors.New("no outcome before the deadline"))
+		return nil, newError(c.op, KindUnknown, errors.New("no outcome before the deadline"))
+	}
+}
+
+// abandon gives up a call that has had no effect. Afterwards it will have none.
+func (c *call) abandon() bool {
+	if c.state.CompareAndSwap(callQueued, callAbandoned) {
+		return true
+	}
+	return c.run != nil && c.state.CompareAndSwap(callTaken, callAbandoned)
+}
+
+// runOnce runs call.run unless the caller gave up.
+func (c *call) runOnce() {
+	if c.state.CompareAndSwap(callTaken, callRunning) {
+		c.run()
+		c.finish(nil, nil)
 	}
 }
 
@@ -153,8 +174,7 @@
 func (s *Store) takeOther(c *call) error {
 	switch c.kind {
 	case callOwner:
-		c.run()
-		c.finish(nil, nil)
+		c.runOnce()
 		return nil
 	case callBootstrap:
 		err := s.bootstrap(c.members)
@@ -198,8 +218,7 @@
 
 func (s *Store) ready(e shraft.ReadReady) {
 	if c := s.release(e.Token); c != nil {
-		c.run()
-		c.finish(nil, nil)
+		c.runOnce()
 	}
 }
 
@@ -216,14 +235,15 @@
 
 // Read runs f in the owner goroutine, with the state machine at rest, after a
 // quorum confirmed that this VM is the leader and all earlier proposals are
-// applied. On an error of KindTimeout f may still run.
+// applied. If Read returns an error, f did not run and will not.
 func (s *Store) Read(ctx context.Context, f func()) error {
 	_, err := s.submit(ctx, &call{op: "read", kind: callRead, run: f})
 	return err
 }
 
 // Inspect runs f in the owner goroutine, with the state machine at rest, without
-// any confirmation: the state may be out of date.
+// any confirmation: the state may be out of date. If Inspect returns an error, f
+// did not run and will not.
 func (s *Store) Inspect(ctx context.Context, f func()) error {
 	_, err := s.submit(ctx, &call{op: "inspect", kind: callOwner, run: f})
 	return err
--- a/transport/shstore/shstore.go
+++ b/transport/shstore/shstore.go
@@ -102,7 +102,8 @@
 	// ManualMembership leaves all membership changes to the caller.
 	ManualMembership bool
 	// OnRole is called by the owner goroutine after each change of role, term,
-	// leader or readiness. It must not block or call methods other than Status.
+	// leader or readiness, the first time before Open returns. It must not block
+	// or call methods other than Status.
 	OnRole func(Role)
 	FS     shlog.FS
 	Logger *slog.Logger
