Bound proposals and the size of Raft messages

Entries of 4 MiB were never replicated in a trial: decoding them took longer than the election timeout, so each leader stepped down before a follower had answered. Also test that a replaced membership change is forgotten.

--- a/coordination/shraft/raft.go
+++ b/coordination/shraft/raft.go
@@ -97,13 +97,15 @@
 }
 
 // Defaults of Config. The election timeout is ten round trips of the slowest
-// link (35 ms one way), so that a few lost heartbeats cause no election.
+// link (35 ms one way), so that a few lost heartbeats cause no election. The
+// sizes keep a message on the thinnest link (280 Mbit/s) to about 10 ms, so that
+// heartbeats are not held up.
 const (
 	DefaultHeartbeat          = 100 * time.Millisecond
 	DefaultElectionTimeout    = 700 * time.Millisecond
 	DefaultElectionTimeoutMax = 1400 * time.Millisecond
-	DefaultMaxBatchBytes      = 1 << 20
-	DefaultSnapshotChunk      = 1 << 20
+	DefaultMaxBatchBytes      = 256 << 10
+	DefaultSnapshotChunk      = 256 << 10
 	DefaultMaxInFlight        = 4096
 	DefaultTrailing           = 1024
 )
--- a/coordination/shraft/raft_test.go
+++ b/coordination/shraft/raft_test.go
@@ -234,6 +234,20 @@
 	assert.Equal(t, len(n.Status().Membership.Voters), 4)
 }
 
+// Guards against a membership that outlives the entry that made it, when another
+// leader replaces the entry.
+func TestReplacedChange(t *testing.T) {
+	n := single(t)
+	larger := []byte(`{"voters": [{"id": {"vm": "vm9", "disk": "1"}}]}`)
+	receive(n, 0, peerA, 1, shraft.AppendRequest{
+		PrevIndex: 1, PrevTerm: 1, Entries: []shraft.Entry{{Index: 2, Term: 1, Kind: shraft.Change, Data: larger}},
+	})
+	assert.Equal(t, len(n.Status().Membership.Voters), 1)
+	effects := receive(n, 0, peerB, 2, shraft.AppendRequest{PrevIndex: 1, PrevTerm: 1, Entries: []shraft.Entry{{Index: 2, Term: 2}}})
+	assert.Equal(t, len(effectsOf[shraft.Persist](effects)[0].Entries), 1)
+	assert.Equal(t, len(n.Status().Membership.Voters), 3)
+}
+
 // Guards against stored state that contradicts itself and is used nonetheless.
 func TestStored(t *testing.T) {
 	group := shraft.NewGroup([]shraft.Member{{ID: self}}, nil)
--- a/transport/shstore/call.go
+++ b/transport/shstore/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 
 	"sequoiahollow/coordination/shraft"
@@ -226,11 +227,20 @@
 	return &Error{Op: op, Kind: KindNotLeader, Err: errors.New("this VM is not the leader"), Leader: s.leader()}
 }
 
+// MaxProposalBytes bounds the data of a proposal. Entries of 4 MiB kept a
+// follower decoding JSON for longer than the election timeout on a busy machine,
+// so that no leader could replicate them.
+const MaxProposalBytes = 1 << 20
+
 // Propose replicates data and returns what StateMachine.Apply returned for it on
 // this VM. On an error of KindUnknown it may be applied, now or later; on any
-// other error it is not.
+// other error it is not. Data over MaxProposalBytes is refused.
 func (s *Store) Propose(ctx context.Context, data []byte) ([]byte, error) {
-	return s.submit(ctx, &call{op: "propose", kind: callPropose, data: data})
+	const op = "propose"
+	if len(data) > MaxProposalBytes {
+		return nil, newError(op, KindRefused, fmt.Errorf("%d bytes exceed %d", len(data), MaxProposalBytes))
+	}
+	return s.submit(ctx, &call{op: op, kind: callPropose, data: data})
 }
 
 // Read runs f in the owner goroutine, with the state machine at rest, after a
--- a/transport/shstore/peers.go
+++ b/transport/shstore/peers.go
@@ -74,8 +74,9 @@
 const (
 	// queuedMessages bounds what waits for a peer that does not take messages.
 	queuedMessages = 256
-	// maxSendBytes bounds the entries and snapshot parts of one notification.
-	maxSendBytes = 4 << 20
+	// maxSendBytes is the size of entries and snapshot parts at which a
+	// notification is sent. The last message in it may exceed it.
+	maxSendBytes = 512 << 10
 	// sendTimeout is below the election timeout: later messages are of no use.
 	sendTimeout = 500 * time.Millisecond
 	// senderIdle is how long a sender without messages is kept.
--- a/transport/shstore/store_test.go
+++ b/transport/shstore/store_test.go
@@ -169,6 +169,10 @@
 		assert.Assert(t, slices.Contains(found, "first"))
 		assert.Assert(t, !l.store.Status().Confirmed.IsZero())
 	})
+	t.Run("a proposal that is too large is refused", func(t *testing.T) {
+		_, err := l.store.Propose(t.Context(), make([]byte, shstore.MaxProposalBytes+1))
+		assert.Equal(t, shstore.KindOf(err), shstore.KindRefused)
+	})
 	t.Run("followers name the leader and see its quorum", func(t *testing.T) {
 		for _, v := range vms {
 			if v == l {
