Choose again when peers' reports are older than a service time

A peer that refused once counted as full until its next report, up to a second, while its slots turn over within a service time of some 40 ms. Requests are now tried at peers whose last report is old, forwarded requests are refused instead of queued a second time, and WantsCredits says when credits are worth asking for.

--- a/coordination/shrouting/book.go
+++ b/coordination/shrouting/book.go
@@ -102,7 +102,7 @@
 	}
 	out := make([]Peer, 0, len(b.peers))
 	for vm, e := range b.peers {
-		refused := e.refusedAt.After(e.At) && now.Sub(e.refusedAt) < refusedFor
+		refused := !e.refusedAt.IsZero() && now.Sub(e.refusedAt) < refusedFor
 		out = append(out, Peer{
 			VM:        vm,
 			Address:   e.Address,
--- a/coordination/shrouting/objective.go
+++ b/coordination/shrouting/objective.go
@@ -29,11 +29,11 @@
 	if c := s.inRegion(r); c != nil {
 		return c
 	}
-	wait, served := s.expectedWait(r.Forwarded)
-	waitFits := served && wait+service <= r.Remaining
 	if r.Forwarded {
-		return waitOrRefuse(wait, waitFits)
+		return Refuse{Reason: NoCapacity, RetryAfter: minRetryAfter}
 	}
+	wait, served := s.expectedWait(false)
+	waitFits := served && wait+service <= r.Remaining
 	leave := !waitFits
 	remote, found := s.remote(r)
 	if s.Objective == shconfig.Latency && found {
@@ -42,11 +42,10 @@
 	if found && leave {
 		return Shift{VM: remote.VM, Address: remote.Address, Region: remote.Place.Region, Credit: remote.Credit}
 	}
-	return waitOrRefuse(wait, waitFits)
-}
-
-func waitOrRefuse(wait time.Duration, fits bool) Choice {
-	if fits {
+	if p, ok := s.probe(r); ok {
+		return Forward{VM: p.VM, Address: p.Address}
+	}
+	if waitFits {
 		return Wait{Expected: wait}
 	}
 	return Refuse{Reason: NoCapacity, RetryAfter: max(minRetryAfter, wait.Round(time.Second))}
@@ -120,6 +119,40 @@
 	return first, n > 0
 }
 
+// WantsCredits says whether a credit of another region would help a request like
+// r, now or soon: the region has no free slot, and the wait takes up more than
+// half of the time left or, if latency comes first, more than a round trip.
+func (s *Snapshot) WantsCredits(r Request) bool {
+	if r.Forwarded || s.inRegion(r) != nil {
+		return false
+	}
+	wait, served := s.expectedWait(false)
+	if !served || wait+s.meanService() > r.Remaining/2 {
+		return true
+	}
+	return s.Objective == shconfig.Latency && slices.ContainsFunc(s.Regions, func(m Remote) bool {
+		return m.Healthy && wait > m.RoundTrip
+	})
+}
+
+// probe returns the first peer by rendezvous hashing that may have a free slot
+// by now although its last report showed none.
+func (s *Snapshot) probe(r Request) (Peer, bool) {
+	var best Peer
+	var bestWeight uint64
+	found := false
+	for _, p := range s.Peers {
+		known := p.ReportAge < s.meanService()
+		if known || p.Refused || !p.Healthy || p.Forwarded >= p.Usable || slices.Contains(r.Tried, p.VM) {
+			continue
+		}
+		if weight := weigh(r.ID, p.VM); !found || weight > bestWeight {
+			best, bestWeight, found = p, weight, true
+		}
+	}
+	return best, found
+}
+
 // fresh says whether the report is recent enough to be taken at its word.
 func (p Peer) fresh() bool { return p.ReportAge <= FreshFor }
 
--- a/coordination/shrouting/routing.go
+++ b/coordination/shrouting/routing.go
@@ -16,7 +16,13 @@
 //     report.
 //   - Candidates are two peers drawn by rendezvous hashing of the request ID,
 //     so that VMs draw different peers. The better of the two is used.
-//   - A peer that refused a forward counts as full until its next report.
+//   - A peer that refused a forward counts as full for a short time.
+//
+// A report says little once it is older than a service time. If no slot is
+// known to be free, a request is therefore tried at a peer that was last known
+// to be full, unless that peer has just refused one. A forwarded request never
+// queues: it is served or refused at once, so that the VM that received it can
+// choose again.
 //
 // A shift needs a valid credit, so a slot is kept for it, and a share of the
 // link that the request fits in.
@@ -30,7 +36,9 @@
 // # Use
 //
 // The owner of the control state keeps a Book and builds a Snapshot per
-// service from it. Policy.Choose does not change the Snapshot.
+// service from it. Policy.Choose does not change the Snapshot. WantsCredits says
+// when to ask other regions for credits. Unused credits block slots there, so
+// they are returned as soon as it no longer does.
 package shrouting
 
 import (
@@ -45,8 +53,9 @@
 	// FreshFor is the age up to which a report is taken at its word. Heartbeats
 	// come every 500 ms; two in a row may be lost.
 	FreshFor = 1500 * time.Millisecond
-	// refusedFor bounds how long a refusal counts if no report follows.
-	refusedFor = time.Second
+	// refusedFor is how long a refusal counts. Slots turn over within a service
+	// time, so a longer period leaves slots of the peer unused.
+	refusedFor = 25 * time.Millisecond
 	// defaultService is the assumed service time before one was measured.
 	defaultService = 20 * time.Millisecond
 	// minRetryAfter is the least Retry-After of a refusal. Callers resolve
@@ -60,7 +69,7 @@
 	Own       Own
 	// Peers are the other entry VMs of the region.
 	Peers []Peer
-	// Regions are VMs of other regions, at most one choice per VM.
+	// Regions are VMs of other regions, with and without credits.
 	Regions []Remote
 	// InnerRoundTrip is the round trip to a peer in the region.
 	InnerRoundTrip time.Duration
@@ -90,7 +99,7 @@
 	ReportAge time.Duration
 	// Forwarded counts own forwards in flight that the report does not cover.
 	Forwarded int
-	// Refused says that the peer refused a forward since the report.
+	// Refused says that the peer has just refused a forward.
 	Refused bool
 	// Healthy says that the connection to the peer works.
 	Healthy bool
