--- a/transport/shstore/shstore.go
+++ b/transport/shstore/shstore.go
@@ -23,7 +23,9 @@
 // membership with all identities, campaigns, and the others get the membership
 // from it as a snapshot. If the first VM loses its disk later, some other VM is
 // not empty, so no second group is made. A group of one voter has no such
-// protection.
+// protection. If the first VM loses its disk after the others voted for it and
+// before any of them stored the initial membership, no group comes about: the
+// folders of the others, which hold no entries, must be emptied by hand.
 //
 // A store that stays without a group announces itself to the listed VMs once a
 // second. The leader adds a listed VM as a learner. When the learner has caught
