Keep entry VMs with the control VM of their region

Cause: an entry VM whose nearest control VM was not up yet moved to another region for good, and one without quorum asked a different control VM each time. In a region that was cut off the two VMs then met at no control VM for 3 s, the directory dropped them, and the account had no target: idempotent work was refused. Ruled out: the outbox, whose targets followed the directory. Account VMs also count their own disk when too few others can be reached.

--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -150,7 +150,9 @@
 	s := d.settings
 	address := peerAddresses(s, func() []shdirectory.Heartbeat { return d.syncer.View().Entries })
 	d.outbox = shaccount.NewOutbox(replicator{client: d.client, address: address}, shaccount.OutboxOptions{
-		Replication: shreplication.Config{Self: s.VM, Place: s.Place()}, Incarnation: d.incarnation,
+		// The own disk counts when too few others can be reached, so that a region
+		// that is cut off goes on with idempotent work.
+		Replication: shreplication.Config{Self: s.VM, Place: s.Place(), UseSelf: s.Has(shsettings.Account)}, Incarnation: d.incarnation,
 	})
 	d.ids = newAllocator(d.proposer, s.VM, d.incarnation)
 	salt := string(s.VM) + "-" + strconv.FormatUint(d.incarnation, 36)
--- a/transport/shview/syncer.go
+++ b/transport/shview/syncer.go
@@ -19,6 +19,10 @@
 // left for the next one.
 const syncTimeout = 700 * time.Millisecond
 
+// probeEvery is the number of heartbeats per one that tries another control VM.
+// An entry VM without heartbeat for 2 s is taken off the directory.
+const probeEvery = 4
+
 // Syncer keeps a View up to date.
 type Syncer struct {
 	Client   *shpeer.Client
@@ -29,12 +33,19 @@
 	Heartbeat func() shdirectory.Heartbeat
 	Log       *slog.Logger
 
-	view     atomic.Pointer[View]
-	wake     chan struct{}
-	once     sync.Once
-	target   int
-	sequence uint64
-	follower shdirectory.Follower
+	view   atomic.Pointer[View]
+	wake   chan struct{}
+	once   sync.Once
+	target int
+	// asked is the control VM that the last heartbeat went to, and after the one
+	// that failed before the nearest was tried again. All are indexes.
+	asked int
+	after int
+	beats int
+	// unconfirmed says that the target is not in touch with a quorum.
+	unconfirmed bool
+	sequence    uint64
+	follower    shdirectory.Follower
 	// current is owned by Run.
 	current View
 	// askWhole asks for the whole configuration in place of a change.
@@ -88,19 +99,57 @@
 	asked := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	address := s.Addresses[s.target%len(s.Addresses)]
+	address := s.Addresses[s.next()]
 	r, err := shpeer.Call[shwire.SyncResponse](callCtx, s.Client, address, shwire.MethodSync, shwire.SyncRequest{
 		Heartbeat: h, Since: s.since(), Source: s.follower.Source, Version: s.follower.Version,
 	})
 	if err != nil {
-		s.Log.Warn("control VM did not answer a heartbeat; trying the next one", "address", address, "error", err)
-		s.target++
+		s.Log.Warn("control VM did not answer a heartbeat; trying another one", "address", address, "error", err)
+		s.failed()
 		return
 	}
 	s.apply(ctx, asked, r)
-	if unconfirmed(r.ConfirmedAge) {
-		// Another control VM may be in touch with the quorum.
-		s.target++
+	s.answered(unconfirmed(r.ConfirmedAge))
+}
+
+// next returns the control VM for the next heartbeat. Every fourth one goes to
+// another control VM: to the nearest if that is not the target, since in a
+// region that is cut off it alone keeps the directory of the region, or to any
+// other while the target is not confirmed, since that may be in touch with the
+// quorum.
+func (s *Syncer) next() int {
+	s.beats++
+	s.asked = s.target
+	switch {
+	case s.beats%probeEvery != 0 || len(s.Addresses) == 1:
+	case s.target != 0:
+		s.asked = 0
+	case s.unconfirmed:
+		s.asked = 1 + s.beats/probeEvery%(len(s.Addresses)-1)
+	}
+	return s.asked
+}
+
+// failed turns to another control VM if the target did not answer: to the
+// nearest first, then to the others in turn.
+func (s *Syncer) failed() {
+	if s.asked != s.target {
+		return
+	}
+	if s.target != 0 {
+		s.after = s.target
+		s.target = 0
+		return
+	}
+	s.target = (s.after + 1) % len(s.Addresses)
+}
+
+// answered makes the control VM that was asked the target if it is confirmed or
+// the nearest.
+func (s *Syncer) answered(unconfirmed bool) {
+	if s.asked == s.target || s.asked == 0 || !unconfirmed {
+		s.target = s.asked
+		s.unconfirmed = unconfirmed
 	}
 }
 
--- /dev/null
+++ b/transport/shview/syncer_test.go
@@ -0,0 +1,52 @@
+package shview
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// beat sends n heartbeats; up lists the control VMs that answer, and quorum
+// those that are confirmed. It returns how often each was asked.
+func beat(s *Syncer, n int, up, quorum map[int]bool) map[int]int {
+	asked := map[int]int{}
+	for range n {
+		i := s.next()
+		asked[i]++
+		if up[i] {
+			s.answered(!quorum[i])
+		} else {
+			s.failed()
+		}
+	}
+	return asked
+}
+
+// Guards against an entry VM that leaves the control VM of its region for good,
+// so that a region that is cut off loses its directory.
+func TestSyncerTarget(t *testing.T) {
+	all := map[int]bool{0: true, 1: true, 2: true}
+	for _, c := range []struct {
+		name       string
+		up, quorum map[int]bool
+		most       int
+	}{
+		{"all up", all, all, 0},
+		{"nearest down", map[int]bool{1: true, 2: true}, all, 1},
+		{"region cut off", map[int]bool{0: true}, nil, 0},
+		{"nearest cut off from the quorum", all, map[int]bool{2: true}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &Syncer{Addresses: []string{"a", "b", "c"}}
+			beat(s, 20, c.up, c.quorum)
+			asked := beat(s, 20, c.up, c.quorum)
+			assert.Assert(t, asked[c.most] >= 10, "asked %v", asked)
+		})
+	}
+	t.Run("returns to the nearest", func(t *testing.T) {
+		s := &Syncer{Addresses: []string{"a", "b", "c"}}
+		beat(s, 20, map[int]bool{2: true}, all)
+		asked := beat(s, 20, all, all)
+		assert.Assert(t, asked[0] >= 15, "asked %v", asked)
+	})
+}
