Give a repeated reservation the range it got before

Cause: a proposer sends a command again when its answer is lost or late. Each copy of a reservation took another range of 100,000 request IDs. The process never learned of the first one, and since it went on to a later range the export listed all IDs of the first as gaps.

Ruled out: lost records; the VM had assigned none of these IDs.

Before: after a leader froze, 200,000 gap lines for one VM and a verification that is not complete.

Conclusion: a process numbers its reservations, and the replicated state answers a repeated number with the same range. Commands without a number behave as before.

--- a/coordination/shcontrol/command.go
+++ b/coordination/shcontrol/command.go
@@ -94,11 +94,15 @@
 	ID uint64 `json:"id"`
 }
 
-// ReserveRange reserves Count request IDs for one process of a VM.
+// ReserveRange reserves Count request IDs for one process of a VM. Sequence
+// counts the ranges of the process from 1. A repeated command gets the range
+// that was reserved under its number, since its answer may have been lost; 0
+// always reserves another range.
 type ReserveRange struct {
 	VM          shmodel.VM `json:"vm"`
 	Incarnation uint64     `json:"incarnation"`
 	Count       uint64     `json:"count"`
+	Sequence    uint64     `json:"sequence,omitempty"`
 }
 
 // ReportCrash reports that a backend server died while it ran the requests
--- a/coordination/shcontrol/grants_test.go
+++ b/coordination/shcontrol/grants_test.go
@@ -111,6 +111,22 @@
 	assert.Assert(t, due(2, 2*wait+time.Second))
 }
 
+// Guards against a range that nobody uses because the answer to the command
+// that reserved it was lost.
+func TestRangeOfRepeatedCommand(t *testing.T) {
+	var s shcontrol.State
+	reserve := func(incarnation, sequence uint64) shmodel.RequestID {
+		r := s.Apply(start, shcontrol.ReserveRange{VM: "v", Incarnation: incarnation, Count: 10, Sequence: sequence})
+		return r.(shcontrol.RangeResult).Range.First
+	}
+	assert.Equal(t, reserve(1, 1), shmodel.RequestID(1))
+	assert.Equal(t, reserve(1, 1), shmodel.RequestID(1))
+	assert.Equal(t, reserve(2, 1), shmodel.RequestID(11))
+	assert.Equal(t, reserve(1, 2), shmodel.RequestID(21))
+	assert.Equal(t, reserve(1, 1), shmodel.RequestID(1))
+	assert.Equal(t, len(s.Ranges()), 3)
+}
+
 // Guards against request IDs that are handed out twice or leave a gap.
 func TestRangesAreDense(t *testing.T) {
 	var s shcontrol.State
--- a/transport/shdaemon/account.go
+++ b/transport/shdaemon/account.go
@@ -58,8 +58,14 @@
 
 // newAllocator reserves request IDs for one process of a VM.
 func newAllocator(p *shview.Proposer, vm shmodel.VM, incarnation uint64) *shaccount.Allocator {
+	obtained := uint64(0)
 	return shaccount.NewAllocator(func(ctx context.Context, count uint64) (shrecord.Range, error) {
-		r, err := shview.ProposeFor[shcontrol.RangeResult](ctx, p, shcontrol.ReserveRange{VM: vm, Incarnation: incarnation, Count: count})
+		r, err := shview.ProposeFor[shcontrol.RangeResult](ctx, p, shcontrol.ReserveRange{
+			VM: vm, Incarnation: incarnation, Count: count, Sequence: obtained + 1,
+		})
+		if err == nil {
+			obtained++
+		}
 		return r.Range, err
 	})
 }
