Do not read a read's answer that may still be written

Cause: a quorum-confirmed read that ran into its deadline returned the answer variable while the store could still run the function that fills it in. The race detector found both orders in daemons whose leader changed under load.

Ruled out: the lock of the replica; it guards the state, not the answer.

Conclusion: an error returns an empty answer.

--- a/transport/shreplica/replica.go
+++ b/transport/shreplica/replica.go
@@ -166,7 +166,11 @@
 			a.Leader = r.config.VM
 		}
 	})
-	return a, err
+	if err != nil {
+		// The function may still run when the deadline has passed.
+		return shwire.ReadResponse{}, err
+	}
+	return a, nil
 }
 
 func (r *Replica) sync(_ context.Context, q shwire.SyncRequest) (shwire.SyncResponse, error) {
