Record each attempt once

The verification rightly reported contradictory copies.

Ruled out: copies that two stores hold; both records came from the VM that received the request.

Conclusion: the record that the receiver writes stays the only one.

--- a/transport/shentry/mailbox.go
+++ b/transport/shentry/mailbox.go
@@ -17,12 +17,12 @@
 
 func newMailbox() *mailbox { return &mailbox{signal: make(chan struct{}, 1)} }
 
-// post delivers an event. It reports false if the machine is finished.
-func (m *mailbox) post(e shrequest.Event) bool {
+// post delivers an event unless the machine is finished.
+func (m *mailbox) post(e shrequest.Event) {
 	m.mu.Lock()
 	if m.closed {
 		m.mu.Unlock()
-		return false
+		return
 	}
 	m.events = append(m.events, e)
 	m.mu.Unlock()
@@ -30,7 +30,6 @@
 	case m.signal <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // next waits for an event.
@@ -48,10 +47,10 @@
 	}
 }
 
-// close ends the delivery and returns the events that were not taken.
-func (m *mailbox) close() []shrequest.Event {
+// close ends the delivery.
+func (m *mailbox) close() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.closed = true
-	return m.events
+	m.events = nil
 }
--- a/transport/shentry/receiver.go
+++ b/transport/shentry/receiver.go
@@ -74,11 +74,7 @@
 }
 
 func (c *reception) end() {
-	for _, e := range c.mailbox.close() {
-		if a, ok := e.(shrequest.AttemptResult); ok {
-			c.recordLate(a)
-		}
-	}
+	c.mailbox.close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.streams {
@@ -158,29 +154,10 @@
 	c.executions[f.Attempt] = func(e shrequest.Event) { x.mailbox.post(e) }
 }
 
-// report passes the result of an attempt to the machine.
+// report passes the result of an attempt to the machine. A machine that ended
+// before has recorded the attempt as unknown.
 func (c *reception) report(attempt uint32, result shrequest.Result) {
-	a := shrequest.AttemptResult{Attempt: attempt, Result: result}
-	if !c.mailbox.post(a) {
-		c.recordLate(a)
-	}
-}
-
-// recordLate records an attempt that ended after the caller had its outcome, such
-// as the slower one of two hedged attempts.
-func (c *reception) recordLate(a shrequest.AttemptResult) {
-	x, ok := a.Result.(shrequest.Executed)
-	if !ok {
-		return
-	}
-	q := c.request
-	c.entry.writeRecord(shrequest.WriteRecord{Record: shrecord.Record{
-		RequestID: q.ID, Kind: shrecord.Attempted, Attempt: a.Attempt, Service: q.Service, Method: q.Method,
-		Path: q.Path, Operation: q.Operation, Key: q.Key, Caller: q.Caller, FromRegion: c.entry.Place.Region,
-		BackendServer: x.Execution.BackendServer, Outcome: x.Execution.Outcome, Reason: string(x.Execution.Reason),
-		Status: x.Execution.Answer.Status, AnswerBytes: x.Execution.Bytes,
-		DurationUS: time.Since(c.start).Microseconds(),
-	}}, c.mailbox)
+	c.mailbox.post(shrequest.AttemptResult{Attempt: attempt, Result: result})
 }
 
 func (c *reception) cancelAttempt(attempt uint32) {
