--- a/coordination/shdirectory/follower.go
+++ b/coordination/shdirectory/follower.go
@@ -25,9 +25,10 @@
 // reports false, and changes nothing, if the delta does not continue what is
 // known, as with an answer that arrives late.
 func (f *Follower) Apply(askedAt time.Time, d Delta) bool {
-	continues := d.Source == f.Source && d.Since == f.Version && d.Version >= f.Version
-	replaces := d.Whole && !askedAt.Before(f.heardAt) && !f.supersedes(d)
-	if !continues && !replaces {
+	if d.Source == f.Source && (d.Since > f.Version || d.Version < f.Version) {
+		return false
+	}
+	if d.Source != f.Source && (!d.Whole || askedAt.Before(f.heardAt)) {
 		return false
 	}
 	if d.Whole || f.entries == nil {
@@ -47,12 +48,6 @@
 	return true
 }
 
-// supersedes reports whether the known state is later than a delta of the same
-// source.
-func (f *Follower) supersedes(d Delta) bool {
-	return f.entries != nil && d.Source == f.Source && d.Version < f.Version
-}
-
 // Stale reports whether no control VM answered for ExpireAfter.
 func (f *Follower) Stale(now time.Time) bool {
 	return f.heardAt.IsZero() || now.Sub(f.heardAt) >= ExpireAfter
--- a/coordination/shdirectory/lookup.go
+++ b/coordination/shdirectory/lookup.go
@@ -10,6 +10,10 @@
 	"sequoiahollow/state/shmodel"
 )
 
+// spanned is the number of first entries of a region that are not all in one
+// failure domain. Callers try about as many.
+const spanned = 3
+
 // Query is a look-up of a caller.
 type Query struct {
 	Service shmodel.Service
@@ -29,9 +33,9 @@
 // Lookup returns the entry VMs for a query in the order of preference: those
 // of the caller's region, then those of other regions, the nearest first.
 // Within a region the order is a rendezvous hash, so that the callers of a VM
-// spread over all others when it is lost, and consecutive entries are in
-// different failure domains where possible. VMs that leave or drain are not
-// listed.
+// spread over all others when it is lost, also those with cached answers. The
+// first three entries of a region are in at least two failure domains if it has
+// them. VMs that leave or drain are not listed.
 func Lookup(entries []Heartbeat, q Query) []Heartbeat {
 	regions := map[shmodel.Region][]ranked{}
 	listed := 0
@@ -48,7 +52,9 @@
 	}
 	answer := make([]Heartbeat, 0, listed)
 	for _, region := range q.order(regions) {
-		answer = append(answer, spread(regions[region], listed-len(answer))...)
+		for _, r := range spread(regions[region], listed-len(answer)) {
+			answer = append(answer, r.Heartbeat)
+		}
 	}
 	return answer
 }
@@ -102,24 +108,20 @@
 	return 1
 }
 
-// spread returns the first n VMs in the order of their weight, but takes each
-// from the failure domain that was used least so far.
-func spread(vms []ranked, n int) []Heartbeat {
+// spread returns the first n VMs in the order of their weight. A strict
+// alternation of failure domains would send all callers of a lost VM to the
+// only VM of the other domain.
+func spread(vms []ranked, n int) []ranked {
 	slices.SortFunc(vms, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.VM, b.VM))
 	})
-	used := map[shmodel.FailureDomain]int{}
-	order := make([]Heartbeat, 0, min(n, len(vms)))
-	for len(vms) > 0 && len(order) < n {
-		best := 0
-		for i, vm := range vms {
-			if used[vm.Place.FailureDomain] < used[vms[best].Place.FailureDomain] {
-				best = i
-			}
-		}
-		used[vms[best].Place.FailureDomain]++
-		order = append(order, vms[best].Heartbeat)
-		vms = slices.Delete(vms, best, best+1)
+	other := slices.IndexFunc(vms, func(r ranked) bool {
+		return r.Place.FailureDomain != vms[0].Place.FailureDomain
+	})
+	if other >= spanned {
+		moved := vms[other]
+		vms = slices.Delete(vms, other, other+1)
+		vms = slices.Insert(vms, spanned-1, moved)
 	}
-	return order
+	return vms[:min(n, len(vms))]
 }
--- a/transport/shstore/call.go
+++ b/transport/shstore/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 
 	"sequoiahollow/coordination/shraft"
@@ -43,6 +44,8 @@
 const (
 	callQueued int32 = iota
 	callTaken
+	// callRunning says that call.run runs or has run.
+	callRunning
 	callAbandoned
 )
 
@@ -58,14 +61,12 @@
 	}
 }
 
-// lostKind is the kind of error of a call that was taken and did not finish.
+// lostKind is the kind of error of a call that was taken when the store stopped.
 func (c *call) lostKind() Kind {
-	switch c.kind {
-	case callRead, callOwner:
-		return KindTimeout
-	default:
-		return KindUnknown
+	if c.run != nil {
+		return KindClosed
 	}
+	return KindUnknown
 }
 
 // submit queues a call and waits for its outcome.
@@ -90,17 +91,38 @@
 	case <-ctx.Done():
 	case <-s.done:
 	}
-	if c.state.CompareAndSwap(callQueued, callAbandoned) {
+	if c.abandon() {
 		if err := ctx.Err(); err != nil {
 			return nil, newError(c.op, KindTimeout, err)
 		}
 		return nil, stopped
 	}
+	if c.run != nil {
+		// The owner is running it, and the caller must not go on meanwhile.
+		o := <-c.result
+		return o.data, o.err
+	}
 	select {
 	case o := <-c.result:
 		return o.data, o.err
 	default:
-		return nil, newError(c.op, c.lostKind(), errors.New("no outcome before the deadline"))
+		return nil, newError(c.op, KindUnknown, errors.New("no outcome before the deadline"))
+	}
+}
+
+// abandon gives up a call that has had no effect. Afterwards it will have none.
+func (c *call) abandon() bool {
+	if c.state.CompareAndSwap(callQueued, callAbandoned) {
+		return true
+	}
+	return c.run != nil && c.state.CompareAndSwap(callTaken, callAbandoned)
+}
+
+// runOnce runs call.run unless the caller gave up.
+func (c *call) runOnce() {
+	if c.state.CompareAndSwap(callTaken, callRunning) {
+		c.run()
+		c.finish(nil, nil)
 	}
 }
 
@@ -153,8 +175,7 @@
 func (s *Store) takeOther(c *call) error {
 	switch c.kind {
 	case callOwner:
-		c.run()
-		c.finish(nil, nil)
+		c.runOnce()
 		return nil
 	case callBootstrap:
 		err := s.bootstrap(c.members)
@@ -198,8 +219,7 @@
 
 func (s *Store) ready(e shraft.ReadReady) {
 	if c := s.release(e.Token); c != nil {
-		c.run()
-		c.finish(nil, nil)
+		c.runOnce()
 	}
 }
 
@@ -207,23 +227,33 @@
 	return &Error{Op: op, Kind: KindNotLeader, Err: errors.New("this VM is not the leader"), Leader: s.leader()}
 }
 
+// MaxProposalBytes bounds the data of a proposal. Entries of 4 MiB kept a
+// follower decoding JSON for longer than the election timeout on a busy machine,
+// so that no leader could replicate them.
+const MaxProposalBytes = 1 << 20
+
 // Propose replicates data and returns what StateMachine.Apply returned for it on
 // this VM. On an error of KindUnknown it may be applied, now or later; on any
-// other error it is not.
+// other error it is not. Data over MaxProposalBytes is refused.
 func (s *Store) Propose(ctx context.Context, data []byte) ([]byte, error) {
-	return s.submit(ctx, &call{op: "propose", kind: callPropose, data: data})
+	const op = "propose"
+	if len(data) > MaxProposalBytes {
+		return nil, newError(op, KindRefused, fmt.Errorf("%d bytes exceed %d", len(data), MaxProposalBytes))
+	}
+	return s.submit(ctx, &call{op: op, kind: callPropose, data: data})
 }
 
 // Read runs f in the owner goroutine, with the state machine at rest, after a
 // quorum confirmed that this VM is the leader and all earlier proposals are
-// applied. On an error of KindTimeout f may still run.
+// applied. If Read returns an error, f did not run and will not.
 func (s *Store) Read(ctx context.Context, f func()) error {
 	_, err := s.submit(ctx, &call{op: "read", kind: callRead, run: f})
 	return err
 }
 
 // Inspect runs f in the owner goroutine, with the state machine at rest, without
-// any confirmation: the state may be out of date.
+// any confirmation: the state may be out of date. If Inspect returns an error, f
+// did not run and will not.
 func (s *Store) Inspect(ctx context.Context, f func()) error {
 	_, err := s.submit(ctx, &call{op: "inspect", kind: callOwner, run: f})
 	return err
