Take a refused connection after a break for a crash

Cause: a broken connection became a strike only after 1.5 s of silence. A caller that gave up earlier and resent its request through another entry VM reached the next backend server before the first strike was committed.

Ruled out: strikes that get lost; all were committed, too late. Resends after the strike were refused or ran alone, as they should.

Conclusion: the owner connects to a backend server whose connection broke. A refusal proves that the process is gone; anything else leaves the decision to its silence, as before. A caller that resends within about half a second can still be faster than the strike.

--- a/coordination/shslot/event.go
+++ b/coordination/shslot/event.go
@@ -50,6 +50,14 @@
 // SoloCancelled withdraws the wait for a solo run of RequestID.
 type SoloCancelled struct{ RequestID shmodel.RequestID }
 
+// Gone says that the address of a backend server refused a connection: the
+// process that announced Incarnation does not listen any more.
+type Gone struct {
+	BackendServer shmodel.BackendServer
+	Incarnation   uint64
+}
+
+func (Gone) event()            {}
 func (Announced) event()       {}
 func (CreditRequested) event() {}
 func (CreditReturned) event()  {}
--- a/coordination/shslot/table.go
+++ b/coordination/shslot/table.go
@@ -165,6 +165,12 @@
 		if t.solo.request == e.RequestID {
 			t.solo = soloMark{}
 		}
+	case Gone:
+		// Without a broken connection there is nothing to suspect: a leaving
+		// backend server stops listening too.
+		if b := t.backends[e.BackendServer]; b != nil && b.Incarnation == e.Incarnation && b.broken != nil {
+			out = []Effect{b.crash()}
+		}
 	case Tick:
 	}
 	return append(out, t.pass(now)...)
--- a/coordination/shslot/table_test.go
+++ b/coordination/shslot/table_test.go
@@ -280,6 +280,20 @@
 		assert.Equal(t, len(ticks(table, 600*ms, 1900*ms)), 0)
 		assert.DeepEqual(t, ticks(table, 2000*ms, 9000*ms), want)
 	})
+	t.Run("connection refused", func(t *testing.T) {
+		table, a := broken(t)
+		gone := Gone{BackendServer: "b1", Incarnation: a.Incarnation}
+		assert.DeepEqual(t, crashes(table.Apply(at(510*ms), gone)), want)
+		assert.Equal(t, len(crashes(table.Apply(at(511*ms), gone))), 0)
+		assert.Equal(t, len(ticks(table, 600*ms, 9000*ms)), 0)
+		_, ok := reserve(table, at(520*ms))
+		assert.Assert(t, !ok, "new work for a process that is gone")
+		table, _ = broken(t)
+		gone.Incarnation++
+		assert.Equal(t, len(crashes(table.Apply(at(510*ms), gone))), 0)
+		table, _ = leased(t)
+		assert.Equal(t, len(crashes(table.Apply(at(510*ms), Gone{BackendServer: "b1", Incarnation: a.Incarnation}))), 0)
+	})
 	t.Run("new incarnation", func(t *testing.T) {
 		table, a := broken(t)
 		a.Incarnation, a.Nonce = 2, ""
--- a/transport/shentry/slots.go
+++ b/transport/shentry/slots.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"sequoiahollow/coordination/shdirectory"
@@ -302,6 +305,33 @@
 		s.resize(now, l.service, x)
 	}
 	s.mu.Unlock()
+	if result == shslot.Broken {
+		go s.probe(l.Reservation)
+	}
+}
+
+const (
+	probes        = 5
+	probeInterval = 20 * time.Millisecond
+)
+
+// probe connects to a backend server whose connection broke. A refusal proves a
+// crash well before the lease ends, and callers resend before that. A dying
+// process may still accept for a moment.
+func (s *Slots) probe(r shslot.Reservation) {
+	for range probes {
+		c, err := net.DialTimeout("tcp", r.Address, dialTimeout)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			s.mu.Lock()
+			s.effects(s.table.Apply(time.Now(), shslot.Gone{BackendServer: r.BackendServer, Incarnation: r.Incarnation}))
+			s.mu.Unlock()
+			return
+		}
+		if err == nil {
+			_ = c.Close()
+		}
+		time.Sleep(probeInterval)
+	}
 }
 
 // Announce takes an announcement of a backend server. The problem is empty if
