--- a/coordination/shrouting/routing.go
+++ b/coordination/shrouting/routing.go
@@ -83,7 +83,9 @@
 	Place  shmodel.Place
 	Free   int
 	Usable int
-	// Queued is the number of requests that wait at this VM.
+	// Queued is the number of requests that wait at this VM ahead of the one to
+	// choose for. Counting those behind it refuses requests at the head of a
+	// long queue.
 	Queued int
 }
 
