Report the burn of service levels and adopt records of lost VMs

Each daemon counts the requests that it received; the report of an operator asks all of them and lists those that do not answer as missing. Requests that are refused for a mistake of the caller do not count. VMs that hold account records for a process that has ended bring them to two account VMs.

--- a/cmd/sequoiahollow/account.go
+++ b/cmd/sequoiahollow/account.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"time"
 
+	"sequoiahollow/state/shburn"
 	"sequoiahollow/transport/shoperator"
 )
 
@@ -82,19 +82,7 @@
 
 // Run implements the command.
 func (c *burnCommand) Run(e *environment) error {
-	return query(e, &c.operatorFlags, func(ctx context.Context, client *shoperator.Client) (shoperator.BurnReport, error) {
+	return query(e, &c.operatorFlags, func(ctx context.Context, client *shoperator.Client) (shburn.Report, error) {
 		return client.BurnReport(ctx)
-	}, e.printBurn)
-}
-
-func (e *environment) printBurn(r shoperator.BurnReport) {
-	e.printf("at %s\n", r.At.UTC().Format(time.RFC3339))
-	for _, s := range r.Services {
-		e.printf("%s: %.3f%% within %d ms, %.1f%% of the error budget left\n",
-			s.Service, 100*s.Level.GoodShare, s.Level.LatencyMS, 100*s.BudgetLeft)
-		for _, window := range s.Windows {
-			e.printf("  %-8v good %d of %d, burn rate %.2f\n",
-				time.Duration(window.Seconds)*time.Second, window.Good, window.Total, window.BurnRate)
-		}
-	}
+	}, func(r shburn.Report) { _ = r.WriteText(e.out) })
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -96,6 +96,7 @@
 requests payment-2
 
 say 'configuration in force at each daemon'
+sleep 1
 "$sequoiahollow" config status
 say 'service-level burn'
 "$sequoiahollow" report burn
--- a/transport/shdaemon/account.go
+++ b/transport/shdaemon/account.go
@@ -124,6 +124,38 @@
 	return false
 }
 
+// adoptInterval is the time between looks for records of lost VMs.
+const adoptInterval = 2 * time.Second
+
+// adoptRecords brings the records that this VM holds for processes that have
+// ended to two account VMs. Every holder may do it: appends are idempotent.
+func (d *daemon) adoptRecords(ctx context.Context) {
+	every(ctx, adoptInterval, func() {
+		v := d.syncer.View()
+		if !v.Confirmed(time.Now()) {
+			return
+		}
+		for _, o := range d.store.Origins() {
+			if running(o, v.Entries) {
+				continue
+			}
+			d.log.Info("adopting the account records of a process that has ended", "origin", o.VM)
+			if err := d.store.Adopt(ctx, o, d.outbox); err != nil {
+				d.log.Warn("account records were not all adopted; they will be tried again", "origin", o.VM, "error", err)
+			}
+		}
+	})
+}
+
+func running(o shaccount.Origin, entries []shdirectory.Heartbeat) bool {
+	for _, h := range entries {
+		if h.VM == o.VM && h.Incarnation == o.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // peerAddresses returns a look-up from VM to peer address.
 func peerAddresses(s shsettings.Settings, entries func() []shdirectory.Heartbeat) func(shmodel.VM) string {
 	fixed := map[shmodel.VM]string{}
--- a/transport/shdaemon/burn.go
+++ b/transport/shdaemon/burn.go
@@ -2,19 +2,117 @@
 
 import (
 	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shburn"
 	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
+	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/shpeer"
 )
 
-// burnRecorder counts requests for the burn report.
-type burnRecorder struct{}
+// burnTimeout bounds the question to one daemon; one that does not answer in
+// time is reported as missing.
+const burnTimeout = time.Second
+
+// burnRecorder counts the requests that this VM received.
+type burnRecorder struct {
+	region   shmodel.Region
+	recorder *shburn.Recorder
+	levels   atomic.Pointer[map[shmodel.Service]shconfig.ServiceLevel]
+}
+
+func newBurnRecorder(s shsettings.Settings) *burnRecorder {
+	return &burnRecorder{region: s.Region, recorder: shburn.NewRecorder(s.VM, time.Now())}
+}
+
+// observe counts a closing or refusal record.
+func (b *burnRecorder) observe(r shrecord.Record, linkCap bool) {
+	levels := b.levels.Load()
+	if levels == nil || r.Service == "" {
+		return
+	}
+	cause := shburn.CauseOf(shburn.Result{
+		Outcome: r.Outcome, Status: r.Status, LinkCap: linkCap, Duration: time.Duration(r.DurationUS) * time.Microsecond,
+	}, (*levels)[r.Service])
+	b.recorder.Observe(time.Now(), r.Service, b.region, cause)
+}
 
-func (b *burnRecorder) observe(shrecord.Record) {}
+// configure takes the service levels of a configuration.
+func (b *burnRecorder) configure(c shconfig.Config) {
+	levels := make(map[shmodel.Service]shconfig.ServiceLevel, len(c.Services))
+	for name, s := range c.Services {
+		levels[name] = s.ServiceLevel
+	}
+	b.levels.Store(&levels)
+}
 
-func (b *burnRecorder) configure(shconfig.Config) {}
+func (b *burnRecorder) serviceLevels() map[shmodel.Service]shconfig.ServiceLevel {
+	if levels := b.levels.Load(); levels != nil {
+		return *levels
+	}
+	return nil
+}
+
+func (d *daemon) readBurn(context.Context, shwire.Empty) (shburn.DaemonReport, error) {
+	return d.burn.recorder.Report(time.Now()), nil
+}
+
+// BurnReport implements shoperator.Backend. Expected are the VMs of the settings
+// and those of the directory.
+func (o operations) BurnReport(ctx context.Context) (shburn.Report, error) {
+	addresses := map[shmodel.VM]string{}
+	for _, p := range o.settings.Peers {
+		addresses[p.VM] = p.PeerAddress
+	}
+	for _, h := range o.syncer.View().Entries {
+		addresses[h.VM] = h.PeerAddress
+	}
+	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
+	defer cancel()
+	answers := make(chan *shburn.DaemonReport, len(addresses))
+	expected := make([]shmodel.VM, 0, len(addresses))
+	for vm, address := range addresses {
+		expected = append(expected, vm)
+		go func() {
+			r, err := shpeer.Call[shburn.DaemonReport](ctx, o.client, address, shwire.MethodBurn, shwire.Empty{})
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &r
+		}()
+	}
+	var reports []shburn.DaemonReport
+	for range addresses {
+		if r := <-answers; r != nil {
+			reports = append(reports, *r)
+		}
+	}
+	return shburn.Merge(time.Now(), expected, reports, o.burn.serviceLevels()), nil
+}
+
+// writeBurnMetrics adds the burn of this VM to the metrics.
+func (d *daemon) writeBurnMetrics(set *metrics.Set) {
+	now := time.Now()
+	own := shburn.Merge(now, nil, []shburn.DaemonReport{d.burn.recorder.Report(now)}, d.burn.serviceLevels())
+	own.Metrics(func(m shburn.Metric) {
+		set.GetOrCreateGauge(metricName(m), nil).Set(m.Value)
+	})
+}
 
-func (d *daemon) readBurn(context.Context, shwire.Empty) (shwire.Empty, error) {
-	return shwire.Empty{}, nil
+func metricName(m shburn.Metric) string {
+	labels := `{service="` + string(m.Service) + `",region="` + string(m.Region) + `"`
+	if m.Window != "" {
+		labels += `,window="` + m.Window + `"`
+	}
+	if m.Cause != "" {
+		labels += `,cause="` + m.Cause + `"`
+	}
+	return m.Name + labels + "}"
 }
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -62,7 +62,7 @@
 	proposer *shview.Proposer
 	syncer   *shview.Syncer
 	entry    *shentry.Entry
-	burn     burnRecorder
+	burn     *burnRecorder
 	http     httpServers
 }
 
@@ -148,6 +148,7 @@
 
 func (d *daemon) openEntry() {
 	s := d.settings
+	d.burn = newBurnRecorder(s)
 	address := peerAddresses(s, func() []shdirectory.Heartbeat { return d.syncer.View().Entries })
 	d.outbox = shaccount.NewOutbox(replicator{client: d.client, address: address}, shaccount.OutboxOptions{
 		// The own disk counts when too few others can be reached, so that a region
@@ -188,8 +189,9 @@
 	go d.entry.Links.Run(ctx)
 	go every(ctx, reportInterval, func() { d.reportSlots(ctx) })
 	go d.settleOwed(ctx)
+	go d.adoptRecords(ctx)
 	d.http.init()
-	operator, err := d.operatorHandler()
+	operator, err := d.operatorHandler(ctx)
 	if err != nil {
 		return err
 	}
--- a/transport/shdaemon/metrics.go
+++ b/transport/shdaemon/metrics.go
@@ -1,13 +1,19 @@
 package shdaemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// registerMetrics adds the gauges of the process.
-func (d *daemon) registerMetrics(set *metrics.Set) {
+// metricsInterval is the time between updates of gauges with labels.
+const metricsInterval = 2 * time.Second
+
+// registerMetrics adds the gauges of the process and keeps them up to date
+// until the context ends.
+func (d *daemon) registerMetrics(ctx context.Context, set *metrics.Set) {
+	go every(ctx, metricsInterval, func() { d.updateMetrics(set) })
 	set.NewGauge("sequoiahollow_config_revision", func() float64 { return float64(d.syncer.View().Revision) })
 	set.NewGauge("sequoiahollow_config_confirmed", func() float64 { return boolValue(d.syncer.View().Confirmed(time.Now())) })
 	set.NewGauge("sequoiahollow_entry_vms", func() float64 { return float64(len(d.syncer.View().Entries)) })
@@ -18,6 +24,24 @@
 	set.NewGauge("sequoiahollow_request_ids_left", func() float64 { return float64(d.ids.Remaining()) })
 }
 
+// updateMetrics sets the gauges whose labels are not known at the start.
+func (d *daemon) updateMetrics(set *metrics.Set) {
+	for service, slots := range d.entry.Slots.Services() {
+		labels := `{service="` + string(service) + `"}`
+		set.GetOrCreateGauge("sequoiahollow_slots_free"+labels, nil).Set(float64(slots.Free))
+		set.GetOrCreateGauge("sequoiahollow_slots_usable"+labels, nil).Set(float64(slots.Total))
+	}
+	for region, rate := range d.entry.Links.BitsPerSecond() {
+		set.GetOrCreateGauge(`sequoiahollow_link_grant_bits_per_second{to="`+string(region)+`"}`, nil).Set(float64(rate))
+	}
+	for address, bytes := range d.traffic.Snapshot() {
+		labels := `{peer="` + address + `"}`
+		set.GetOrCreateGauge("sequoiahollow_peer_sent_bytes"+labels, nil).Set(float64(bytes.Sent))
+		set.GetOrCreateGauge("sequoiahollow_peer_received_bytes"+labels, nil).Set(float64(bytes.Received))
+	}
+	d.writeBurnMetrics(set)
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/transport/shdaemon/operations.go
+++ b/transport/shdaemon/operations.go
@@ -30,13 +30,13 @@
 // operations implements shoperator.Backend.
 type operations struct{ *daemon }
 
-func (d *daemon) operatorHandler() (http.Handler, error) {
+func (d *daemon) operatorHandler(ctx context.Context) (http.Handler, error) {
 	token, err := shsettings.ReadToken(d.settings.OperatorTokenFile)
 	if err != nil {
 		return nil, err
 	}
 	set := metrics.NewSet()
-	d.registerMetrics(set)
+	d.registerMetrics(ctx, set)
 	s := &shoperator.Server{Backend: operations{d}, Token: token, Metrics: set, Healthy: d.healthy, Logger: d.log}
 	return s.Handler(), nil
 }
@@ -233,8 +233,3 @@
 	_, err := shpeer.Call[shaccount.ReadResponse](ctx, o.client, address, shwire.MethodAccountRead, shaccount.ReadRequest{Limit: 1})
 	return err == nil
 }
-
-// BurnReport implements shoperator.Backend.
-func (o operations) BurnReport(context.Context) (shoperator.BurnReport, error) {
-	return shoperator.BurnReport{At: time.Now()}, nil
-}
--- a/transport/shentry/choose.go
+++ b/transport/shentry/choose.go
@@ -48,6 +48,11 @@
 
 func (c *reception) ask(v *shview.View, f shrequest.Choose) shrouting.Choice {
 	s := c.entry.snapshot(v, c.request.Service, c.bytes())
+	for _, r := range s.Regions {
+		if r.Credits > 0 && r.LinkFreeBytes < c.bytes() {
+			c.linkCap.Store(true)
+		}
+	}
 	return c.entry.Policy.Choose(&s, shrouting.Request{
 		ID: c.request.ID, Kind: c.request.Operation, Remaining: time.Until(c.request.Deadline),
 		Bytes: c.bytes(), Tried: f.Tried,
--- a/transport/shentry/entry.go
+++ b/transport/shentry/entry.go
@@ -39,8 +39,9 @@
 	Links   *Links
 	Credits *Credits
 	Policy  shrouting.Policy
-	// Observe counts the end of a request for the burn report.
-	Observe func(shrecord.Record)
+	// Observe counts the end of a request for the burn report. LinkCap says that
+	// a slot in another region was lent but the link had no room.
+	Observe func(end shrecord.Record, linkCap bool)
 	Log     *slog.Logger
 
 	backends *Dispatcher
--- a/transport/shentry/receiver.go
+++ b/transport/shentry/receiver.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sequoiahollow/coordination/shrequest"
@@ -31,6 +32,7 @@
 	mu         sync.Mutex
 	executions map[uint32]func(shrequest.Event)
 	streams    map[uint32]*pendingStream
+	linkCap    atomic.Bool
 	streamed   bool
 	answered   bool
 	aborted    bool
@@ -129,11 +131,19 @@
 		if r.AnswerBytes == 0 {
 			r.AnswerBytes = c.answerBytes
 		}
-		c.entry.Observe(*r)
+		if !callersMistake(*r) {
+			c.entry.Observe(*r, c.linkCap.Load())
+		}
 	}
 	return w
 }
 
+// callersMistake reports whether a request was refused for what the caller
+// sent, which does not count against the service level.
+func callersMistake(r shrecord.Record) bool {
+	return r.Outcome == shmodel.NotRun && shrequest.Reason(r.Reason) == shrequest.ReasonKeyConflict
+}
+
 // execute starts an Executor on this VM.
 func (c *reception) execute(f shrequest.Execute) {
 	class := shslot.Local
--- a/transport/shoperator/backend.go
+++ b/transport/shoperator/backend.go
@@ -12,9 +12,9 @@
 //	GET  /v1/status          Status
 //	POST /v1/drain           Target, answers shcontrol.DrainResult
 //	POST /v1/undrain         Target, answers shcontrol.DrainResult
-//	GET  /v1/account/export  one shrecord.Record a line
+//	GET  /v1/account/export  one shrecord.Line a line
 //	GET  /v1/account/verify  Verification
-//	GET  /v1/report/burn     BurnReport
+//	GET  /v1/report/burn     shburn.Report
 //	GET  /metrics            Prometheus text, without token
 //	GET  /healthz            "ok", without token
 //
@@ -28,6 +28,7 @@
 	"time"
 
 	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/state/shburn"
 	"sequoiahollow/state/shconfig"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shsettings"
@@ -47,10 +48,10 @@
 	// Drain and Undrain start and end the drain of a VM or region.
 	Drain(ctx context.Context, target Target) (shcontrol.DrainResult, error)
 	Undrain(ctx context.Context, target Target) (shcontrol.DrainResult, error)
-	// AccountExport writes one shrecord.Record as JSON per line.
+	// AccountExport writes one shrecord.Line as JSON per line.
 	AccountExport(ctx context.Context, w io.Writer) error
 	AccountVerify(ctx context.Context) (Verification, error)
-	BurnReport(ctx context.Context) (BurnReport, error)
+	BurnReport(ctx context.Context) (shburn.Report, error)
 }
 
 // Current is the configuration in its latest accepted revision. Revision 0 has
@@ -134,27 +135,3 @@
 	VM     shmodel.VM        `json:"vm"`
 	Reason string            `json:"reason,omitempty"`
 }
-
-// BurnReport compares each service with its service level.
-type BurnReport struct {
-	At       time.Time     `json:"at"`
-	Services []ServiceBurn `json:"services"`
-}
-
-// ServiceBurn is the report of one service. BudgetLeft is the share of the
-// error budget that is left, negative if it is overspent.
-type ServiceBurn struct {
-	Service    shmodel.Service       `json:"service"`
-	Level      shconfig.ServiceLevel `json:"level"`
-	BudgetLeft float64               `json:"budgetLeft"`
-	Windows    []BurnWindow          `json:"windows"`
-}
-
-// BurnWindow counts the requests of a window that ends at the report's time.
-// BurnRate 1 spends exactly the error budget.
-type BurnWindow struct {
-	Seconds  int64   `json:"seconds"`
-	Good     int64   `json:"good"`
-	Total    int64   `json:"total"`
-	BurnRate float64 `json:"burnRate"`
-}
--- a/transport/shoperator/client.go
+++ b/transport/shoperator/client.go
@@ -15,6 +15,7 @@
 
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shburn"
 	"sequoiahollow/state/shconfig"
 )
 
@@ -128,8 +129,8 @@
 }
 
 // BurnReport compares the services with their service levels.
-func (c *Client) BurnReport(ctx context.Context) (BurnReport, error) {
-	return call[BurnReport](ctx, c, "GET", "/v1/report/burn", nil)
+func (c *Client) BurnReport(ctx context.Context) (shburn.Report, error) {
+	return call[shburn.Report](ctx, c, "GET", "/v1/report/burn", nil)
 }
 
 // AccountExport copies the account to w, one record a line. An export that
--- a/transport/shoperator/server_test.go
+++ b/transport/shoperator/server_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/state/shburn"
 	"sequoiahollow/state/shconfig"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shoperator"
@@ -108,8 +109,8 @@
 	}
 }
 
-func (f *fake) BurnReport(context.Context) (shoperator.BurnReport, error) {
-	return shoperator.BurnReport{Services: []shoperator.ServiceBurn{{Service: "s"}}}, f.fail
+func (f *fake) BurnReport(context.Context) (shburn.Report, error) {
+	return shburn.Report{Services: []shburn.ServiceReport{{Service: "s"}}}, f.fail
 }
 
 // start serves a fake and returns a client for it.
