Take heartbeats of a VM whose clock went back

Cause: the incarnation is the start time, so a VM that restarted after its clock went back sent a lower one and stayed off the directory for ten minutes. Before: the new test fails. After: a removed VM returns with any other incarnation; the age of heartbeats keeps late copies of the earlier process out.

--- a/coordination/shdirectory/directory.go
+++ b/coordination/shdirectory/directory.go
@@ -108,7 +108,7 @@
 		return false
 	}
 	old := d.records[h.VM]
-	if old != nil && !newer(h, old.heartbeat) {
+	if old != nil && !newer(h, old.heartbeat) && !old.replacedBy(h) {
 		return false
 	}
 	r := &record{heartbeat: h, sentAt: now.Add(-max(0, h.Age))}
@@ -198,6 +198,13 @@
 	}
 }
 
+// replacedBy reports whether a heartbeat comes from a later process of a VM that
+// was removed, even if its clock went back and its incarnation is lower. The age
+// of a heartbeat bounds how late one of the earlier process can arrive.
+func (r *record) replacedBy(h Heartbeat) bool {
+	return r.removed && h.Incarnation != r.heartbeat.Incarnation
+}
+
 func (r *record) aged(now time.Time) Heartbeat {
 	h := r.heartbeat
 	h.Age = max(0, now.Sub(r.sentAt))
--- a/coordination/shdirectory/directory_test.go
+++ b/coordination/shdirectory/directory_test.go
@@ -258,3 +258,20 @@
 	assert.Assert(t, g.Apply(start, early))
 	assert.Assert(t, !g.Apply(start, late), "a change is missing")
 }
+
+// Guards against a VM that stays off the directory for ten minutes because its
+// clock went back before it was restarted.
+func TestClockWentBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var d shdirectory.Directory
+	earlier := vm(1)
+	earlier.Incarnation = 9
+	assert.Assert(t, d.Receive(now, earlier))
+	later := vm(1)
+	later.Incarnation = 5
+	assert.Assert(t, !d.Receive(now, later), "taken before the removal")
+	now = now.Add(shdirectory.ExpireAfter)
+	d.Expire(now)
+	assert.Assert(t, !d.Receive(now, earlier), "a copy of the earlier process")
+	assert.Assert(t, d.Receive(now, later))
+}
