--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strconv"
 	"sync/atomic"
@@ -51,6 +52,7 @@
 	log         *slog.Logger
 	incarnation uint64
 	leaving     atomic.Bool
+	lock        *os.File
 
 	traffic  *shpeer.Traffic
 	client   *shpeer.Client
@@ -102,6 +104,13 @@
 // open makes the parts without serving.
 func (d *daemon) open() error {
 	s := d.settings
+	if s.DataFolder != "" {
+		lock, err := lockFolder(s.DataFolder)
+		if err != nil {
+			return err
+		}
+		d.lock = lock
+	}
 	d.traffic = new(shpeer.Traffic)
 	config := shpeer.Config{Self: s.PeerAddress, Traffic: d.traffic, Logger: d.log}
 	d.client = shpeer.NewClient(config)
@@ -214,6 +223,9 @@
 	if d.store != nil {
 		errs = append(errs, d.store.Close())
 	}
+	if d.lock != nil {
+		errs = append(errs, d.lock.Close())
+	}
 	return errors.Join(errs...)
 }
 
