Spread stand-in backend servers over the entry VMs

All of them announced to the first address of their list, so one entry VM owned every slot of its region and all requests took a second hop.

--- a/transport/shbackend/announcer.go
+++ b/transport/shbackend/announcer.go
@@ -2,13 +2,17 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sequoiahollow/protocol/shwire"
 )
 
@@ -51,11 +55,20 @@
 	a.client.Transport = &http.Transport{IdleConnTimeout: 5 * time.Second}
 	a.done = make(chan struct{})
 	a.kick = make(chan struct{}, 1)
-	a.owners = s.config.Owners
+	a.owners = preferred(string(s.config.BackendServer), s.config.Owners)
 	a.lease = defaultLease
 	go a.loop()
 }
 
+// preferred orders owners by rendezvous hashing, so that backend servers spread
+// over the entry VMs.
+func preferred(name string, owners []string) []string {
+	weight := func(owner string) uint64 { return xxhash.Sum64String(name + "\x00" + owner) }
+	return slices.SortedFunc(slices.Values(owners), func(a, b string) int {
+		return cmp.Compare(weight(b), weight(a))
+	})
+}
+
 func (a *announcer) stop() {
 	select {
 	case <-a.done:
