Refuse forwarded requests at once and ask for credits by need

A forwarded request waits at the VM that received it, which sees all peers; in the queue of a peer it would hold a place twice. A shifted request is refused as not run if the link has no grant for its answer, since its answer could not be sent. Credits are requested when shrouting says that they would help.

--- a/transport/shentry/choose.go
+++ b/transport/shentry/choose.go
@@ -34,29 +34,37 @@
 	c.mailbox.post(shrequest.ChoiceMade{ID: f.ID, Choice: c.decide(f)})
 }
 
-// decide asks the policy. When the region has no slot now, it asks owners in
-// other regions for credits and asks the policy again.
+// decide asks the policy. When a credit of another region would help, it asks
+// owners there, and asks the policy again unless waiting in the region is the
+// better choice for now.
 func (c *reception) decide(f shrequest.Choose) shrouting.Choice {
 	v := c.entry.View()
-	choice := c.ask(v, f)
-	if !c.entry.wantsShift(v, choice) {
+	choice, wants := c.ask(v, f)
+	if !wants || !c.entry.mayLeaveRegion(v) {
 		return c.settleChoice(v, choice)
 	}
-	c.entry.requestCredits(c.ctx, v, c.request)
-	return c.settleChoice(v, c.ask(v, f))
+	answers := c.entry.requestCredits(c.ctx, v, c.request)
+	if _, waits := choice.(shrouting.Wait); waits && v.Config.Config.Objective != shconfig.Latency {
+		return c.settleChoice(v, choice)
+	}
+	c.entry.awaitCredits(c.ctx, v, c.request, answers)
+	choice, _ = c.ask(v, f)
+	return c.settleChoice(v, choice)
 }
 
-func (c *reception) ask(v *shview.View, f shrequest.Choose) shrouting.Choice {
+// ask returns the choice of the policy, and whether credits would help.
+func (c *reception) ask(v *shview.View, f shrequest.Choose) (shrouting.Choice, bool) {
 	s := c.entry.snapshot(v, c.request.Service, c.bytes())
 	for _, r := range s.Regions {
 		if r.Credits > 0 && r.LinkFreeBytes < c.bytes() {
 			c.linkCap.Store(true)
 		}
 	}
-	return c.entry.Policy.Choose(&s, shrouting.Request{
+	r := shrouting.Request{
 		ID: c.request.ID, Kind: c.request.Operation, Remaining: time.Until(c.request.Deadline),
 		Bytes: c.bytes(), Tried: f.Tried,
-	})
+	}
+	return c.entry.Policy.Choose(&s, r), s.WantsCredits(r)
 }
 
 func (c *reception) bytes() int64 { return c.request.RequestBytes + expectedAnswerBytes }
@@ -78,34 +86,25 @@
 	return choice
 }
 
-// wantsShift reports whether credits of another region could improve a choice.
-func (e *Entry) wantsShift(v *shview.View, choice shrouting.Choice) bool {
-	if !e.mayLeaveRegion(v) {
-		return false
-	}
-	switch choice.(type) {
-	case shrouting.Refuse:
-		return true
-	case shrouting.Wait:
-		return v.Config.Config.Objective == shconfig.Latency
-	}
-	return false
-}
-
 // mayLeaveRegion reports whether shifts are allowed at all. An unconfirmed
 // configuration may have a cap that was lowered since.
 func (e *Entry) mayLeaveRegion(v *shview.View) bool { return v.Confirmed(time.Now()) }
 
-// requestCredits asks the nearest owners in other regions and waits for the
-// first answers, for a round trip at most.
-func (e *Entry) requestCredits(ctx context.Context, v *shview.View, r shrequest.Request) {
+// requestCredits asks the nearest owners in other regions for credits.
+func (e *Entry) requestCredits(ctx context.Context, v *shview.View, r shrequest.Request) []<-chan struct{} {
 	owners := e.remoteOwners(v, r.Service)
-	owners = owners[:min(len(owners), askedOwners)]
 	var answers []<-chan struct{}
-	longest := time.Duration(0)
-	for _, h := range owners {
+	for _, h := range owners[:min(len(owners), askedOwners)] {
 		e.Links.Want(h.Place.Region, r.RequestBytes)
 		answers = append(answers, e.Credits.Request(ctx, r.Service, h))
+	}
+	return answers
+}
+
+// awaitCredits waits for the answers of owners, for two round trips at most.
+func (e *Entry) awaitCredits(ctx context.Context, v *shview.View, r shrequest.Request, answers []<-chan struct{}) {
+	longest := time.Duration(0)
+	for _, h := range e.remoteOwners(v, r.Service) {
 		longest = max(longest, e.roundTrip(v, h.Place.Region))
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(2*longest+askInterval, time.Until(r.Deadline)/2))
--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -35,11 +35,14 @@
 	entry   *Entry
 	request shrequest.Request
 	payload payload
-	machine *shrequest.Executor
-	mailbox *mailbox
-	mu      sync.Mutex
-	ended   bool
-	slots   map[shslot.ReservationID]*Slot
+	// forwarded says that another entry VM received the request. It waits there,
+	// where all peers are seen.
+	forwarded bool
+	machine   *shrequest.Executor
+	mailbox   *mailbox
+	mu        sync.Mutex
+	ended     bool
+	slots     map[shslot.ReservationID]*Slot
 	// report receives the one Execution.
 	report func(shrequest.Execution)
 	// stream passes on an answer that is longer than the buffer.
@@ -90,7 +93,7 @@
 func (x *execution) reserve(ctx context.Context, w shslot.Want) {
 	want := Want{
 		Service: w.Service, RequestID: w.RequestID, Kind: x.request.Operation, Digest: w.Digest,
-		Deadline: x.request.Deadline, Credit: w.Credit, Exclude: w.Exclude,
+		Deadline: x.request.Deadline, Credit: w.Credit, Exclude: w.Exclude, NoWait: x.forwarded,
 	}
 	if w.Class == shslot.Solo {
 		l := x.entry.Slots.ReserveSolo(want, func() { x.mailbox.post(shrequest.SoloReady{}) })
--- a/transport/shentry/forward.go
+++ b/transport/shentry/forward.go
@@ -189,10 +189,15 @@
 	case f.From != h.entry.Place.Region:
 		class = shslot.Remote
 	}
+	if class == shslot.Remote && !h.entry.Links.WaitFree(ctx, f.From, expectedAnswerBytes) {
+		// Without a grant the answer could not be sent.
+		h.answer(ctx, shrequest.Execution{Outcome: shmodel.NotRun, Reason: shrequest.ReasonNoCapacity})
+		return
+	}
 	over := make(chan struct{})
 	defer close(over)
 	x := &execution{
-		entry: h.entry, request: f.Request, payload: p,
+		entry: h.entry, request: f.Request, payload: p, forwarded: true,
 		report: func(r shrequest.Execution) { h.result <- r },
 		stream: func(in Incoming) (int64, error) { return h.offer(over, in) },
 	}
--- a/transport/shentry/links.go
+++ b/transport/shentry/links.go
@@ -17,6 +17,8 @@
 	// paceRetry bounds how long a transfer waits before it looks again for a
 	// grant.
 	paceRetry = 20 * time.Millisecond
+	// grantWait covers a commit across regions and one interval of asking.
+	grantWait = 300 * time.Millisecond
 	// forwardOverhead is added for the HTTP headers of a forwarded message.
 	forwardOverhead = 1 << 10
 	// frameShare adds the share of TCP and IP headers, 1/16 of the payload.
@@ -120,6 +122,29 @@
 	return ok && wait <= 0
 }
 
+// WaitFree asks for a grant if need be and reports whether n payload bytes may be
+// sent to a region within grantWait.
+func (l *Links) WaitFree(ctx context.Context, to shmodel.Region, n int64) bool {
+	if l.Free(to, n) {
+		return true
+	}
+	l.Want(to, n)
+	ctx, cancel := context.WithTimeout(ctx, grantWait)
+	defer cancel()
+	t := time.NewTicker(paceRetry)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if l.Free(to, n) {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // TryTake takes n payload bytes of the grant for a region if they may be sent
 // now. Otherwise it takes nothing and asks for a grant.
 func (l *Links) TryTake(to shmodel.Region, n int64) bool {
--- a/transport/shentry/slots.go
+++ b/transport/shentry/slots.go
@@ -169,7 +169,9 @@
 	Digest    shmodel.Digest
 	Deadline  time.Time
 	// Credit permits a request of another region; it does not wait.
-	Credit  shslot.CreditID
+	Credit shslot.CreditID
+	// NoWait refuses the request if no slot is free now.
+	NoWait  bool
 	Exclude []shmodel.BackendServer
 }
 
@@ -194,6 +196,16 @@
 	s.resize(now, w.Service, x)
 	s.admit(x, x.admission.Handle(now, shlimit.Arrive{ID: w.RequestID, Kind: w.Kind, Deadline: w.Deadline}))
 	s.mu.Unlock()
+	if w.NoWait {
+		cancelled, cancel := context.WithCancel(ctx)
+		cancel()
+		ctx = cancelled
+	}
+	select {
+	case e := <-decision:
+		return s.start(w, x, e)
+	default:
+	}
 	select {
 	case e := <-decision:
 		return s.start(w, x, e)
