Look a key up before its request is refused as not run

Cause: a resend of once-only work that found no slot, no retry budget or no owner was refused as not run without a look at its key, while the first send ran. A caller that trusts the answer would pay again under another key. Also, a settlement told the recorded answer of a key without comparing the content.

Ruled out: a wrong outcome of the send that ran; it was answered or unknown.

TestKeyLookedUpBeforeRefusal and the rows on settled content of TestClaimRules fail without the change.

Conclusion: such a request is settled first, which forbids a claim of its own and tells of the claim that the key has. Without a quorum until the deadline the refusal still says not-run, as the design states, and covers only the send itself.

--- a/coordination/shcontrol/claims.go
+++ b/coordination/shcontrol/claims.go
@@ -146,11 +146,14 @@
 	if exists && held.RequestID == c.RequestID && held.Status != ClaimNotRun {
 		return held.result()
 	}
-	cs.Forbidden.put(at, settled(c), true)
-	if exists && held.Status != ClaimNotRun {
-		return held.result()
+	cs.Forbidden.put(at, settled{Key: c.Key, RequestID: c.RequestID}, true)
+	switch {
+	case !exists || held.Status == ClaimNotRun:
+		return held.withStatus(ClaimForbidden)
+	case held.Digest != c.Digest && c.Digest != (shmodel.Digest{}):
+		return held.withStatus(ClaimConflict)
 	}
-	return held.withStatus(ClaimForbidden)
+	return held.result()
 }
 
 func (cs *claims) put(at time.Time, key shmodel.ClaimKey, c claim) {
--- a/coordination/shcontrol/claims_test.go
+++ b/coordination/shcontrol/claims_test.go
@@ -242,6 +242,10 @@
 	return shcontrol.SettleClaim{Key: payment, RequestID: id}
 }
 
+func compare(id shmodel.RequestID, digest byte) shcontrol.Command {
+	return shcontrol.SettleClaim{Key: payment, RequestID: id, Digest: shmodel.Digest{digest}}
+}
+
 // Guards each rule of claims: the last command must get the wanted status.
 func TestClaimRules(t *testing.T) {
 	type list = []shcontrol.Command
@@ -263,6 +267,8 @@
 		"close by another request":       {list{open(1, 1, 1), done(2, 1, shmodel.Answered)}, shcontrol.ClaimInProgress},
 		"close without claim":            {list{done(1, 1, shmodel.Answered)}, shcontrol.ClaimNotRun},
 		"other body":                     {list{open(1, 1, 1), done(1, 1, shmodel.Answered), open(2, 2, 2)}, shcontrol.ClaimConflict},
+		"settled, same content":          {list{open(1, 1, 1), done(1, 1, shmodel.Answered), compare(2, 1)}, shcontrol.ClaimAnswered},
+		"settled, other content":         {list{open(1, 1, 1), done(1, 1, shmodel.Answered), compare(2, 9)}, shcontrol.ClaimConflict},
 		"settled before the claim":       {list{forbid(1), open(1, 1, 1)}, shcontrol.ClaimForbidden},
 		"settled, other request":         {list{forbid(1), open(2, 1, 1)}, shcontrol.ClaimGranted},
 		"settle without claim":           {list{forbid(1)}, shcontrol.ClaimForbidden},
--- a/coordination/shcontrol/command.go
+++ b/coordination/shcontrol/command.go
@@ -66,10 +66,12 @@
 }
 
 // SettleClaim forbids any later claim of Key by RequestID if the request holds
-// none. Its result tells the claim that the key has, if any.
+// none. Its result tells the claim that the key has, if any. With a Digest, a
+// claim of a request with other content is a conflict and not told.
 type SettleClaim struct {
 	Key       shmodel.ClaimKey  `json:"key"`
 	RequestID shmodel.RequestID `json:"requestId"`
+	Digest    shmodel.Digest    `json:"digest,omitzero"`
 }
 
 // Answer is a recorded answer of a backend server. Body is empty and Truncated
--- a/coordination/shrequest/machine_test.go
+++ b/coordination/shrequest/machine_test.go
@@ -296,6 +296,38 @@
 	assert.Equal(t, has[AnswerCaller](t, settle(r, 5*ms, with(shcontrol.ClaimNotRun))).Outcome, shmodel.Unknown)
 }
 
+// Guards against a resend that is refused as not run, for want of a slot, while
+// its key ran or is in progress, and against the answer to another request.
+func TestKeyLookedUpBeforeRefusal(t *testing.T) {
+	refused := func(status shcontrol.ClaimStatus) (*Receiver, []Effect) {
+		r := NewReceiver(ReceiverOptions{Request: testRequest(shmodel.OnceOnly)})
+		id := has[Choose](t, r.Apply(at(0), Admitted{})).ID
+		out := r.Apply(at(0), ChoiceMade{ID: id, Choice: shrouting.Refuse{}})
+		hasNot[WriteRecord](t, out)
+		c := has[AskControl](t, out).Command.(shcontrol.SettleClaim)
+		assert.Equal(t, c.Digest, r.Request.Digest)
+		claim := shcontrol.ClaimResult{Status: status, RequestID: 9, Attempt: shcontrol.Attempt{DispatchBy: at(time.Second)}}
+		return r, r.Apply(at(ms), ControlResult{Command: c, Result: claim})
+	}
+	for status, reason := range map[shcontrol.ClaimStatus]Reason{
+		shcontrol.ClaimForbidden: ReasonNoCapacity, shcontrol.ClaimNotRun: ReasonNoCapacity, shcontrol.ClaimConflict: ReasonKeyConflict,
+	} {
+		r, out := refused(status)
+		assert.Equal(t, has[WriteRecord](t, out).Record.Kind, shrecord.Refused)
+		assert.Equal(t, has[RefuseCaller](t, r.Apply(at(ms), RecordCopied{Kind: shrecord.Refused})).Reason, reason)
+	}
+	for status, outcome := range map[shcontrol.ClaimStatus]shmodel.Outcome{
+		shcontrol.ClaimAnswered: shmodel.Answered, shcontrol.ClaimUnknown: shmodel.Unknown, shcontrol.ClaimUsedBefore: shmodel.Unknown,
+	} {
+		_, out := refused(status)
+		assert.Equal(t, has[WriteRecord](t, out).Record.Kind, shrecord.Opened)
+		assert.Equal(t, has[AnswerCaller](t, out).Outcome, outcome)
+	}
+	r, out := refused(shcontrol.ClaimInProgress)
+	has[StartTimer](t, out)
+	assert.Equal(t, has[AnswerCaller](t, r.Apply(at(11*time.Second), TimerFired{ID: r.deadlineID})).Outcome, shmodel.Unknown)
+}
+
 // Guards against a backend server whose clock is ahead by the clock error and
 // that therefore refuses every once-only request as past its deadline.
 func TestDispatchDeadlineAllowsForClockError(t *testing.T) {
--- a/coordination/shrequest/outcome.go
+++ b/coordination/shrequest/outcome.go
@@ -11,6 +11,9 @@
 // certainly did not run. An attempt that found work in progress under its key,
 // or the key used before, counts as uncertain.
 func (r *Receiver) outcome() shmodel.Outcome {
+	if r.keyTaken {
+		return shmodel.Unknown
+	}
 	for _, a := range r.attempts {
 		if a.state != notRun {
 			return shmodel.Unknown
@@ -22,16 +25,20 @@
 // finish ends the request without an answer.
 func (r *Receiver) finish(now time.Time, reason Reason, retryAfter time.Duration) []Effect {
 	outcome := r.outcome()
+	if outcome == shmodel.NotRun && r.mustLookUp(reason) {
+		return r.beginLookUp(reason, retryAfter)
+	}
 	r.refusal = RefuseCaller{Reason: reason, RetryAfter: retryAfter}
 	out := r.leaveAttempts(now)
 	// In stage opening the record may be written although no copy is confirmed.
-	if !r.opened && r.stage != opening {
+	if !r.opened && r.stage != opening && outcome == shmodel.NotRun {
 		r.stage = refusing
 		refused := r.record(shrecord.Refused)
 		refused.Outcome = shmodel.NotRun
 		refused.Reason = string(reason)
 		return append(out, WriteRecord{Record: refused, Await: true})
 	}
+	out = append(out, r.openLate()...)
 	r.stage = received
 	out = append(out, r.closing(now, outcome, reason, Execution{}))
 	if outcome == shmodel.NotRun {
@@ -45,7 +52,7 @@
 	if r.streaming != 0 && r.streaming != number {
 		return nil
 	}
-	out := r.leaveAttempts(now)
+	out := append(r.leaveAttempts(now), r.openLate()...)
 	r.stage = received
 	out = append(out, r.closing(now, shmodel.Answered, ReasonNone, x))
 	return append(out, AnswerCaller{
@@ -57,6 +64,16 @@
 	})
 }
 
+// openLate writes the opening record of a request that ends with the outcome of
+// another one before it was opened.
+func (r *Receiver) openLate() []Effect {
+	if r.opened || r.stage == opening {
+		return nil
+	}
+	r.opened = true
+	return []Effect{WriteRecord{Record: r.record(shrecord.Opened)}}
+}
+
 // abort ends the request after a streamed answer broke.
 func (r *Receiver) abort(now time.Time) []Effect {
 	r.stage = received
--- a/coordination/shrequest/receiver.go
+++ b/coordination/shrequest/receiver.go
@@ -91,6 +91,10 @@
 	callerGone bool
 	settle     settlement
 	refusal    RefuseCaller
+	// lookedUp is the refusal before which the key was looked up.
+	lookedUp RefuseCaller
+	// keyTaken says that another request with the key ran or may run.
+	keyTaken bool
 
 	choiceID   uint64
 	timer      uint64
--- a/coordination/shrequest/settle.go
+++ b/coordination/shrequest/settle.go
@@ -41,8 +41,27 @@
 	return r.askSettle()
 }
 
+// beginLookUp settles a request that found no way to run, before it is refused
+// for a reason. It may be a resend whose key ran or is in progress.
+func (r *Receiver) beginLookUp(reason Reason, retryAfter time.Duration) []Effect {
+	r.opened = r.opened || r.stage == opening
+	r.stage = settling
+	r.lookedUp = RefuseCaller{Reason: reason, RetryAfter: retryAfter}
+	return r.askSettle()
+}
+
+// mustLookUp reports whether nothing is known yet of the key of a request that
+// is to be refused for a reason.
+func (r *Receiver) mustLookUp(reason Reason) bool {
+	switch reason {
+	case ReasonNoCapacity, ReasonRetryBudget, ReasonNoRecord, ReasonShed, ReasonUnreachable, ReasonLateDispatch:
+		return r.Request.onceOnly() && r.lookedUp.Reason == ReasonNone && r.stage != settling
+	}
+	return false
+}
+
 func (r *Receiver) askSettle() []Effect {
-	r.settle.pending = shcontrol.SettleClaim{Key: r.Request.claimKey(), RequestID: r.Request.ID}
+	r.settle.pending = shcontrol.SettleClaim{Key: r.Request.claimKey(), RequestID: r.Request.ID, Digest: r.Request.Digest}
 	return []Effect{AskControl{Command: r.settle.pending}}
 }
 
@@ -62,7 +81,11 @@
 		return r.pollSettle()
 	}
 	own := c.RequestID == r.Request.ID
+	r.keyTaken = keyTaken(c.Status) && !own
 	switch c.Status {
+	case shcontrol.ClaimConflict:
+		r.barBefore(uint32(len(r.attempts) + 1))
+		return r.finish(now, ReasonKeyConflict, 0)
 	case shcontrol.ClaimAnswered:
 		return r.answer(now, 0, Execution{
 			Outcome:       shmodel.Answered,
@@ -87,9 +110,17 @@
 	}
 }
 
+// keyTaken reports whether work under the key of a claim ran or may run.
+func keyTaken(s shcontrol.ClaimStatus) bool {
+	return s != shcontrol.ClaimForbidden && s != shcontrol.ClaimNotRun && s != shcontrol.ClaimConflict
+}
+
 // settledNotRun ends a request that holds no claim and can get none any more.
 func (r *Receiver) settledNotRun(now time.Time) []Effect {
 	r.barBefore(uint32(len(r.attempts) + 1))
+	if r.lookedUp.Reason != ReasonNone {
+		return r.finish(now, r.lookedUp.Reason, r.lookedUp.RetryAfter)
+	}
 	return r.finish(now, ReasonSettled, 0)
 }
 
