--- a/transport/shdaemon/metrics.go
+++ b/transport/shdaemon/metrics.go
@@ -1,9 +1,12 @@
 package shdaemon
 
 import (
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"sequoiahollow/coordination/shraft"
 )
 
 // registerMetrics adds the gauges of the process.
@@ -15,6 +18,13 @@
 		records, _ := d.outbox.Owed()
 		return float64(records)
 	})
+	if d.replica != nil {
+		// A VM with an empty disk is a voter again once it has caught up.
+		set.NewGauge("sequoiahollow_control_voter", func() float64 {
+			s := d.replica.Status()
+			return boolValue(slices.ContainsFunc(s.Voters, func(m shraft.Member) bool { return m.ID == s.ID }))
+		})
+	}
 	set.NewGauge("sequoiahollow_request_ids_left", func() float64 { return float64(d.ids.Remaining()) })
 }
 
