Announce an old incarnation to whichever VM owns the backend server

Cause: backend servers now spread over the entry VMs, so the VM that the test asked was not always the owner, and only the owner knows the incarnation. The check is as strict: exactly one VM, the owner, must refuse.

--- a/transport/shdaemon/faults_test.go
+++ b/transport/shdaemon/faults_test.go
@@ -266,13 +266,13 @@
 		"negative slots":  func(a *shwire.Announcement) { a.Slots = -1 },
 		"no address":      func(a *shwire.Announcement) { a.Address = "" },
 		"other region":    func(a *shwire.Announcement) { a.Place.Region = north },
-		"old incarnation": func(a *shwire.Announcement) { a.BackendServer, a.Incarnation = "leaving", 1 },
 	} {
 		a := good
 		change(&a)
 		status, _ := announce(owner.ServerAddress, a)
 		assert.Assert(d.t, status != http.StatusOK, "%s was accepted", name)
 	}
+	d.refusedByOwner(good)
 	done := make(chan struct{})
 	d.t.Cleanup(func() { close(done) })
 	go func() {
@@ -287,6 +287,23 @@
 	}()
 }
 
+// refusedByOwner announces an old incarnation to all VMs of the region. The one
+// that owns the backend server must refuse it; which one that is depends on the
+// addresses.
+func (d *deployment) refusedByOwner(a shwire.Announcement) {
+	a.BackendServer = "leaving"
+	refused := 0
+	for _, v := range d.vms {
+		if v.settings.Region != south {
+			continue
+		}
+		if status, _ := announce(v.settings.ServerAddress, a); status != http.StatusOK {
+			refused++
+		}
+	}
+	assert.Equal(d.t, refused, 1, "owners that refused an old incarnation")
+}
+
 func announce(owner string, a shwire.Announcement) (status int, nonce string) {
 	body, err := json.Marshal(a)
 	if err != nil {
