--- a/transport/shentry/http.go
+++ b/transport/shentry/http.go
@@ -75,7 +75,7 @@
 // the system sets itself.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 	shwire.HeaderRequestID, shwire.HeaderAttempt, shwire.HeaderDeadline, shwire.HeaderOutcome,
 	shwire.HeaderIncarnation, shwire.HeaderReplayed,
 }
