Use the document merge patch in shcontrol

shcontrol had a second implementation of RFC 7396. It now encodes configurations as shdocument values and merges and compares those. CreatePatchIgnoringNulls serves the null of a nil list, which CreatePatch refuses.

A patch that is null, repeats a key or has trailing data is now refused. shcontrol writes no such patch.

--- a/coordination/shcontrol/revisions.go
+++ b/coordination/shcontrol/revisions.go
@@ -3,11 +3,13 @@
 import (
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
 
 	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shdocument"
 )
 
 const (
@@ -51,15 +53,33 @@
 }
 
 func applyPatch(base shconfig.Config, patch []byte) (shconfig.Config, error) {
-	doc, err := document(base)
+	var changed shconfig.Config
+	doc, err := shdocument.Encode(base)
 	if err != nil {
 		return base, err
 	}
-	changes, err := parseObject(patch)
+	changes, err := parsePatch(patch)
 	if err != nil {
 		return base, err
 	}
-	return parseConfig(mergePatch(doc, changes))
+	data, err := json.Marshal(shdocument.Merge(doc, changes))
+	if err != nil {
+		return base, err
+	}
+	err = decodeStrict(data, &changed)
+	return changed, err
+}
+
+// parsePatch reads a merge patch that changes members of an object.
+func parsePatch(data []byte) (*shdocument.Value, error) {
+	patch, problems := shdocument.Parse("patch", data)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	if !patch.IsObject() {
+		return nil, errors.New("the patch is no object")
+	}
+	return patch, nil
 }
 
 // revisions is the configuration with its history.
@@ -91,7 +111,7 @@
 	if c.EditID == "" {
 		return Rejected{Reason: "an edit needs an edit ID"}
 	}
-	next, err := document(c.Config)
+	next, err := shdocument.Encode(c.Config)
 	if err != nil {
 		return Rejected{Reason: err.Error()}
 	}
@@ -134,19 +154,30 @@
 }
 
 // undo returns the patch that leads from next to the current configuration.
-func (r *revisions) undo(next object) ([]byte, error) {
-	current, err := document(r.Config)
+func (r *revisions) undo(next *shdocument.Value) ([]byte, error) {
+	current, err := shdocument.Encode(r.Config)
+	if err != nil {
+		return nil, err
+	}
+	return encodePatch(next, current)
+}
+
+// encodePatch returns the patch that leads from one configuration to another.
+// A nil list is null in the JSON form of a configuration and decodes from an
+// absent member, so null members need not survive.
+func encodePatch(from, to *shdocument.Value) ([]byte, error) {
+	patch, err := shdocument.CreatePatchIgnoringNulls(from, to)
 	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(diffPatch(next, current))
+	return json.Marshal(patch)
 }
 
 // editSum identifies the content of an edit.
-func editSum(base uint64, doc object) ([]byte, error) {
+func editSum(base uint64, doc *shdocument.Value) ([]byte, error) {
 	data, err := json.Marshal(struct {
 		Base     uint64
-		Document object
+		Document *shdocument.Value
 	}{base, doc})
 	if err != nil {
 		return nil, err
@@ -183,7 +214,7 @@
 	if len(r.History) == 0 || revision+1 < r.History[0].Number {
 		return nil
 	}
-	current, err := document(r.Config)
+	current, err := shdocument.Encode(r.Config)
 	if err != nil {
 		return nil
 	}
@@ -192,13 +223,13 @@
 		if e.Number <= revision {
 			break
 		}
-		undo, err := parseObject(e.Undo)
+		undo, err := parsePatch(e.Undo)
 		if err != nil {
 			return nil
 		}
-		old = mergePatch(old, undo)
+		old = shdocument.Merge(old, undo)
 	}
-	patch, err := json.Marshal(diffPatch(old, current))
+	patch, err := encodePatch(old, current)
 	if err != nil {
 		return nil
 	}
--- a/state/shdocument/patch.go
+++ b/state/shdocument/patch.go
@@ -31,12 +31,14 @@
 	return merged
 }
 
+var errNotObjects = errors.New("a merge patch needs two objects")
+
 // CreatePatch returns the merge patch that turns from into to. Both must be
 // objects, and no member in to may be null, since a merge patch cannot set a
 // member to null.
 func CreatePatch(from, to *Value) (*Value, error) {
 	if !from.IsObject() || !to.IsObject() {
-		return nil, errors.New("a merge patch needs two objects")
+		return nil, errNotObjects
 	}
 	if hasNullMember(to) {
 		return nil, errors.New("a merge patch cannot set a member to null")
@@ -44,6 +46,19 @@
 	return createPatch(from, to), nil
 }
 
+// CreatePatchIgnoringNulls is CreatePatch for documents with null members, such
+// as the JSON form of a nil slice. A null member in to counts as absent: the
+// merge of the patch into from is to without its null members. The error says
+// that an argument is no object.
+func CreatePatchIgnoringNulls(from, to *Value) (*Value, error) {
+	if !from.IsObject() || !to.IsObject() {
+		return nil, errNotObjects
+	}
+	return createPatch(from, to), nil
+}
+
+// createPatch copies null members of to into the patch, where they stand for
+// removals.
 func createPatch(from, to *Value) *Value {
 	patch := NewObject()
 	for key := range from.Members {
