Read bounded files in one place

shconfig and shsettings each had a bounded read. shdocument.ReadFile serves both; the error for a file over the limit now names the operation and the path, as other file errors do.

--- a/state/shconfig/load.go
+++ b/state/shconfig/load.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -116,7 +114,7 @@
 }
 
 func readFile(dir, name string) (*shdocument.Value, Problems) {
-	data, err := readBounded(filepath.Join(dir, name))
+	data, err := shdocument.ReadFile(filepath.Join(dir, name), MaxFileBytes)
 	if err != nil {
 		return nil, Problems{{File: name, Reason: err.Error()}}
 	}
@@ -127,22 +125,6 @@
 	return v, append(problems, shdocument.Check[Config](v, true)...)
 }
 
-func readBounded(path string) ([]byte, error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, MaxFileBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(data) > MaxFileBytes {
-		return nil, fmt.Errorf("larger than %d bytes", MaxFileBytes)
-	}
-	return data, nil
-}
-
 // Parse reads one whole document, for example from the operator interface. It
 // is as strict as Load; null is an error. The error is an *Error.
 func Parse(name string, data []byte) (Config, error) {
--- a/state/shdocument/document_test.go
+++ b/state/shdocument/document_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -167,3 +169,14 @@
 	assert.NilError(t, err)
 	return string(data)
 }
+
+// Guards against a limit that cuts a file off or refuses one of exactly its size.
+func TestReadFileLimit(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "f.json")
+	assert.NilError(t, os.WriteFile(file, []byte("1234"), 0o600))
+	data, err := shdocument.ReadFile(file, 4)
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "1234")
+	_, err = shdocument.ReadFile(file, 3)
+	assert.Error(t, err, "read "+file+": larger than 3 bytes")
+}
--- a/state/shdocument/problem.go
+++ b/state/shdocument/problem.go
@@ -1,11 +1,11 @@
 // Package shdocument holds JSON documents together with the file and line that
 // each value came from, so that a mistake can be reported where it was made.
 //
-// Parse reads a document and reports syntax errors and duplicate keys. Check
-// compares a document with a Go type and reports unknown fields and wrong
-// types. Merge and CreatePatch implement JSON merge patches (RFC 7396), and
-// Diff lists the differences of two documents. Paths are JSON pointers
-// (RFC 6901).
+// ReadFile reads a file up to a limit. Parse reads a document and reports syntax
+// errors and duplicate keys. Check compares a document with a Go type and
+// reports unknown fields and wrong types. Merge and CreatePatch implement JSON
+// merge patches (RFC 7396), and Diff lists the differences of two documents.
+// Paths are JSON pointers (RFC 6901).
 package shdocument
 
 import (
--- a/state/shsettings/load.go
+++ b/state/shsettings/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"os"
 	"strings"
 
@@ -54,7 +53,7 @@
 // Load reads a settings file and checks it, including the data folder and the
 // token file. The error is an *Error; for kind Invalid it lists every mistake.
 func Load(file string) (Settings, error) {
-	data, err := readBounded(file, maxSettingsBytes)
+	data, err := shdocument.ReadFile(file, maxSettingsBytes)
 	if err != nil {
 		return Settings{}, &Error{Op: "load settings", Kind: Unreadable, Err: err}
 	}
@@ -112,7 +111,7 @@
 		return "", fmt.Errorf("%s has mode %04o: it must not be readable by others, for example 0600",
 			file, info.Mode().Perm())
 	}
-	data, err := readBounded(file, maxTokenBytes)
+	data, err := shdocument.ReadFile(file, maxTokenBytes)
 	if err != nil {
 		return "", err
 	}
@@ -128,19 +127,3 @@
 
 // notVisible reports whether a character cannot be part of a bearer token.
 func notVisible(r rune) bool { return r <= ' ' || r > '~' }
-
-func readBounded(file string, limit int64) ([]byte, error) {
-	f, err := os.Open(file)
-	if err != nil {
-		return nil, err
-	}
-	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(data)) > limit {
-		return nil, fmt.Errorf("%s is larger than %d bytes", file, limit)
-	}
-	return data, nil
-}
