--- a/transport/shpeer/shpeer.go
+++ b/transport/shpeer/shpeer.go
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"log/slog"
 	"time"
@@ -161,8 +162,4 @@
 
 // connLogger drops what jsonrpc2 logs about a connection that ends: the caller
 // gets an error for every call on it.
-var connLogger = log.New(discard{}, "", 0)
-
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
+var connLogger = log.New(io.Discard, "", 0)
