--- a/transport/shaccount/bench_test.go
+++ b/transport/shaccount/bench_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io/fs"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"sequoiahollow/internal/shusage"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
 )
@@ -73,3 +78,66 @@
 		})
 	}
 }
+
+// requestRecords are the three records of an answered request.
+func requestRecords(id shmodel.RequestID) []shrecord.Record {
+	attempted := closedRecord(id)
+	attempted.Kind, attempted.Attempt, attempted.BackendServer = shrecord.Attempted, 1, "field-sampling-records-s1"
+	return []shrecord.Record{opened(id), attempted, closedRecord(id)}
+}
+
+// BenchmarkRequestRecords measures what one answered request costs an account
+// store: CPU time, and bytes of messages and files. Each request is one append
+// without a sync of its own.
+func BenchmarkRequestRecords(b *testing.B) {
+	folder := b.TempDir()
+	s, err := OpenStore(StoreOptions{Folder: folder})
+	assert.NilError(b, err)
+	message := 0
+	var cpu time.Duration
+	for id := uint64(1); b.Loop(); id++ {
+		b.StopTimer()
+		q := AppendRequest{Origin: Origin{VM: "self", Incarnation: 7}, Batch: id, Records: requestRecords(shmodel.RequestID(id))}
+		data, err := json.Marshal(q)
+		assert.NilError(b, err)
+		message = len(data)
+		b.StartTimer()
+		before := shusage.CPU()
+		q = AppendRequest{}
+		if err := json.Unmarshal(data, &q); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := s.Append(b.Context(), q); err != nil {
+			b.Fatal(err)
+		}
+		cpu += shusage.CPU() - before
+	}
+	assert.NilError(b, s.Close())
+	files := int64(0)
+	assert.NilError(b, filepath.WalkDir(folder, func(_ string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		info, err := d.Info()
+		files += info.Size()
+		return err
+	}))
+	b.ReportMetric(float64(message), "message-B")
+	b.ReportMetric(float64(files)/float64(b.N), "file-B")
+	b.ReportMetric(float64(cpu.Nanoseconds())/float64(b.N)/1000, "cpu-µs/op")
+}
+
+// BenchmarkStoreMemory measures the live memory of a store on disk per record.
+func BenchmarkStoreMemory(b *testing.B) {
+	const n = 30_000
+	for b.Loop() {
+		before := shusage.Heap()
+		s, err := OpenStore(StoreOptions{Folder: b.TempDir()})
+		assert.NilError(b, err)
+		for id := range shmodel.RequestID(n / 3) {
+			assert.NilError(b, appendOne(b, s, uint64(id), false, requestRecords(id+1)...))
+		}
+		b.ReportMetric(float64(int64(shusage.Heap())-int64(before))/n, "B/record")
+		assert.NilError(b, s.Close())
+	}
+}
