--- /dev/null
+++ b/internal/shbench/deployment.go
@@ -0,0 +1,310 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/shoperator"
+)
+
+const (
+	readyLimit = 30 * time.Second
+	readyPause = 50 * time.Millisecond
+	stopLimit  = 3 * time.Second
+	// perDomain is the number of backend servers per service and failure
+	// domain.
+	perDomain = 2
+	// serviceTime of the stand-in backend servers is that of the demo.
+	serviceTime = 5 * time.Millisecond
+)
+
+// vm is one daemon.
+type vm struct {
+	settings shsettings.Settings
+	process  *exec.Cmd
+}
+
+// backend is one stand-in backend server. A caller that calls it directly does
+// so at direct, through a relay.
+type backend struct {
+	name    string
+	service shmodel.Service
+	place   shmodel.Place
+	direct  string
+}
+
+// deployment is the processes of an example, with relays between them.
+type deployment struct {
+	example  example
+	folder   string
+	config   shconfig.Config
+	vms      []*vm
+	backends []backend
+	// byAddress finds VMs by peer address.
+	byAddress map[string]*vm
+	processes []*exec.Cmd
+}
+
+// token is only used on loopback and for the length of a run.
+const token = "measurement-operator-token-0123456789"
+
+// start starts the processes of an example and waits until every VM has the
+// configuration in force.
+func start(e example, root, folder string) (*deployment, error) {
+	d := &deployment{example: e, folder: folder, byAddress: map[string]*vm{}}
+	if err := errors.Join(os.RemoveAll(folder), os.MkdirAll(folder, 0o700)); err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(d.path("token"), []byte(token), 0o600); err != nil {
+		return nil, err
+	}
+	loaded, err := shconfig.Load(filepath.Join(root, e.folder, "config"))
+	if err != nil {
+		return nil, err
+	}
+	d.config = loaded.Config
+	files, err := filepath.Glob(filepath.Join(root, e.folder, "settings", "*.json"))
+	if err != nil {
+		return nil, err
+	}
+	for _, file := range files {
+		if err := d.addVM(file); err != nil {
+			return d, err
+		}
+	}
+	if err := d.relayAll(); err != nil {
+		return d, err
+	}
+	for _, v := range d.vms {
+		if err := d.startVM(v); err != nil {
+			return d, err
+		}
+	}
+	if err := d.startBackends(root); err != nil {
+		return d, err
+	}
+	return d, d.apply()
+}
+
+func (d *deployment) path(name string) string { return filepath.Join(d.folder, name) }
+
+// addVM takes the settings of an example with addresses of their own, so that
+// a demo may run at the same time.
+func (d *deployment) addVM(file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	data = bytes.ReplaceAll(data, []byte(d.example.addresses), []byte(d.example.ownAddresses))
+	v := &vm{}
+	if err := json.Unmarshal(data, &v.settings); err != nil {
+		return err
+	}
+	v.settings.DataFolder = d.path("data-" + string(v.settings.VM))
+	v.settings.OperatorTokenFile = d.path("token")
+	d.vms = append(d.vms, v)
+	d.byAddress[v.settings.PeerAddress] = v
+	return nil
+}
+
+// delay returns the one-way delay between two places.
+func (d *deployment) delay(from, to shmodel.Place) time.Duration {
+	if from == to {
+		return 0
+	}
+	if from.Region == to.Region {
+		return milliseconds(d.config.Regions[to.Region].InnerLatencyMS)
+	}
+	for _, l := range d.config.Links {
+		if l.From == from.Region && l.To == to.Region {
+			return milliseconds(l.LatencyMS)
+		}
+	}
+	return 0
+}
+
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+func (d *deployment) clientDelay(r shmodel.Region) time.Duration {
+	return milliseconds(d.config.Regions[r].ClientLatencyMS)
+}
+
+func (d *deployment) relayAll() error {
+	for _, v := range d.vms {
+		s := v.settings
+		for address, from := range map[string]source{
+			s.PeerAddress: d.peerSource(v), s.ServerAddress: d.serverSource(v), s.CallerAddress: fixed(d.clientDelay(s.Region)),
+		} {
+			if _, err := relay(address, from); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *deployment) startVM(v *vm) error {
+	data, err := json.Marshal(v.settings)
+	if err != nil {
+		return err
+	}
+	file := d.path(string(v.settings.VM) + ".json")
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		return err
+	}
+	v.process, err = d.run(string(v.settings.VM), os.Args[0], "daemon", "--settings", file)
+	return err
+}
+
+// run starts a process whose output goes to a file.
+func (d *deployment) run(name, program string, arguments ...string) (*exec.Cmd, error) {
+	log, err := os.Create(d.path(name + ".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = log.Close() }()
+	c := exec.Command(program, arguments...)
+	c.Stdout, c.Stderr = log, log
+	// No process outlives a measurement that is ended from outside.
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGTERM}
+	if err := c.Start(); err != nil {
+		return nil, err
+	}
+	d.processes = append(d.processes, c)
+	return c, nil
+}
+
+// startBackends starts backend servers of both services in every failure
+// domain. The first owner of each is in its failure domain.
+func (d *deployment) startBackends(root string) error {
+	seen := map[shmodel.Place]bool{}
+	for _, v := range d.vms {
+		place := v.settings.Place()
+		if seen[place] {
+			continue
+		}
+		seen[place] = true
+		for i, service := range []shmodel.Service{d.example.idempotent, d.example.onceOnly} {
+			for n := range perDomain {
+				host := fmt.Sprintf("%s%d.%d", d.example.backendAddresses, len(seen), 1+i*perDomain+n)
+				b := backend{
+					name: fmt.Sprintf("%s-%s-%d", service, place.FailureDomain, n), service: service, place: place, direct: host + ":8000",
+				}
+				if err := d.startBackend(root, b, v); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (d *deployment) startBackend(root string, b backend, owner *vm) error {
+	if _, err := relay(b.direct, fixed(d.clientDelay(b.place.Region))); err != nil {
+		return err
+	}
+	owners := []string{owner.settings.ServerAddress}
+	for _, v := range d.vms {
+		if v != owner && v.settings.Region == b.place.Region {
+			owners = append(owners, v.settings.ServerAddress)
+		}
+	}
+	size := d.config.Services[b.service].Size
+	d.backends = append(d.backends, b)
+	_, err := d.run(b.name, filepath.Join(root, "bin", "shbackend"), "--name", b.name, "--service", string(b.service),
+		"--region", string(b.place.Region), "--failure-domain", string(b.place.FailureDomain),
+		"--address", behindRelay(b.direct), "--owners", strings.Join(owners, ","),
+		"--slots", fmt.Sprint(size.Slots), "--connections", fmt.Sprint(size.Connections), "--service-time", serviceTime.String())
+	return err
+}
+
+// apply applies the configuration of the example and waits until it is in force.
+func (d *deployment) apply() error {
+	return within("configuration in force", func(ctx context.Context) error {
+		o := d.operator()
+		if s, err := o.Status(ctx); err == nil && d.inForce(s) {
+			return nil
+		}
+		current, err := o.Config(ctx)
+		if err != nil {
+			return err
+		}
+		if current.Revision == 0 {
+			_, err = o.Apply(ctx, shcontrol.ApplyConfig{EditID: "measurement", Config: d.config})
+		}
+		return errors.Join(err, errors.New("not in force everywhere"))
+	})
+}
+
+func (d *deployment) inForce(s shoperator.Status) bool {
+	count := 0
+	for _, x := range s.Daemons {
+		if x.Revision > 0 {
+			count++
+		}
+	}
+	return count == len(d.vms)
+}
+
+func (d *deployment) operator() *shoperator.Client {
+	return &shoperator.Client{Address: d.vms[0].settings.OperatorAddress, Token: token, RetryPause: readyPause}
+}
+
+// leader returns the VM that leads.
+func (d *deployment) leader() shmodel.VM {
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	s, err := d.operator().Status(ctx)
+	if err != nil {
+		return ""
+	}
+	for _, x := range s.Daemons {
+		if x.Leader {
+			return x.VM
+		}
+	}
+	return ""
+}
+
+// within repeats f until it succeeds.
+func within(what string, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyLimit)
+	defer cancel()
+	for {
+		attempt, done := context.WithTimeout(ctx, 2*time.Second)
+		err := f(attempt)
+		done()
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("not within %v: %s: %w", readyLimit, what, err)
+		}
+		time.Sleep(readyPause)
+	}
+}
+
+// stop ends all processes that were started, and only these.
+func (d *deployment) stop() {
+	for _, c := range d.processes {
+		_ = c.Process.Signal(syscall.SIGTERM)
+	}
+	for _, c := range d.processes {
+		late := time.AfterFunc(stopLimit, func() { _ = c.Process.Kill() })
+		_ = c.Wait()
+		late.Stop()
+	}
+}
--- /dev/null
+++ b/internal/shbench/measure.go
@@ -0,0 +1,406 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/internal/shusage"
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/shaccount"
+	"sequoiahollow/transport/shpeer"
+	"sequoiahollow/transport/shview"
+)
+
+const (
+	// latencyTime is how long the two kinds of requests are compared.
+	latencyTime = 7 * time.Second
+	probeTime   = 4 * time.Second
+	loadTime    = 3 * time.Second
+	callTimeout = 5 * time.Second
+	// workers is the number of requests in flight while latencies are compared.
+	workers = 4
+	// loadWorkers is the number of requests in flight under load.
+	loadWorkers = 32
+	// direct calls and probes use numbers that the system never assigns.
+	directNumbers = 1 << 40
+	probeNumbers  = 1 << 50
+)
+
+// sample is latencies in microseconds.
+type sample struct {
+	mu     sync.Mutex
+	values *hdrhistogram.Histogram
+	failed int
+	first  error
+}
+
+func newSample() *sample {
+	return &sample{values: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+}
+
+// time runs f and takes its duration.
+func (s *sample) time(f func() error) {
+	begin := time.Now()
+	err := f()
+	took := time.Since(begin)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.failed++
+		if s.first == nil {
+			s.first = err
+		}
+		return
+	}
+	_ = s.values.RecordValue(took.Microseconds())
+}
+
+func (s *sample) at(percentile float64) float64 {
+	return float64(s.values.ValueAtQuantile(percentile)) / 1000
+}
+
+// row prints a sample, with ratios to another one.
+func (s *sample) row(name string, base *sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ratios := "| 1 | 1"
+	if base != s {
+		ratios = fmt.Sprintf("| %.2f | %.2f", s.at(50)/base.at(50), s.at(99)/base.at(99))
+	}
+	fmt.Printf("| %s | %d | %d | %.1f | %.1f %s |\n", name, s.values.TotalCount(), s.failed, s.at(50), s.at(99), ratios)
+	if s.first != nil {
+		fmt.Printf("<!-- first failure of %s: %v -->\n", name, s.first)
+	}
+}
+
+// repeat runs f in some goroutines for a time.
+func repeat(count int, d time.Duration, f func(worker int)) {
+	end := time.Now().Add(d)
+	var group sync.WaitGroup
+	for w := range count {
+		group.Go(func() {
+			for time.Now().Before(end) {
+				f(w)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// client sends HTTP requests over connections that stay open.
+type client struct {
+	http    http.Client
+	numbers atomic.Int64
+}
+
+func newClient() *client {
+	return &client{http: http.Client{Timeout: callTimeout, Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: loadWorkers, DisableCompression: true,
+	}}}
+}
+
+func (c *client) get(address, path string, header map[string]string) error {
+	return c.send(http.MethodGet, address, path, header, "")
+}
+
+func (c *client) send(method, address, path string, header map[string]string, body string) error {
+	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	response, err := c.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d: %s", response.StatusCode, bytes.TrimSpace(data))
+	}
+	return err
+}
+
+// direct calls a backend server as its owner would.
+func (c *client) direct(method string, b backend, path string) error {
+	return c.send(method, b.direct, path, map[string]string{
+		shwire.HeaderRequestID: shmodel.RequestID(directNumbers + c.numbers.Add(1)).String(), shwire.HeaderAttempt: "1",
+	}, "pay 100")
+}
+
+// path sends a request through an entry VM.
+func (c *client) path(method, address string, service shmodel.Service, path string) error {
+	header := map[string]string{shwire.HeaderService: string(service)}
+	if method == http.MethodPost {
+		header[shwire.HeaderKey] = fmt.Sprintf("key-%d", c.numbers.Add(1))
+	}
+	return c.send(method, address, path, header, "pay 100")
+}
+
+// measure measures requests in the region of the first VM, then at a VM of
+// another region than the leader if that is a different one.
+func measure(d *deployment) error {
+	c := newClient()
+	if err := d.warmUp(c); err != nil {
+		return err
+	}
+	leader := d.leader()
+	entry := d.vms[0]
+	for _, v := range d.vms {
+		if v.settings.VM == leader {
+			entry = v
+		}
+	}
+	away := entry
+	for _, v := range d.vms {
+		if v.settings.Region != entry.settings.Region {
+			away = v
+		}
+	}
+	fmt.Printf("leader %s, %d processes\n\n", leader, len(d.processes)+1)
+	for _, v := range []*vm{entry, away} {
+		d.latencies(c, v)
+	}
+	return d.throughput(c, entry)
+}
+
+// warmUp waits until both services answer at every VM, and leaves time for the
+// slow start of backend servers.
+func (d *deployment) warmUp(c *client) error {
+	for _, v := range d.vms {
+		err := within("answers at "+string(v.settings.VM), func(context.Context) error {
+			return errors.Join(
+				c.path(http.MethodGet, v.settings.CallerAddress, d.example.idempotent, "/ready"),
+				c.path(http.MethodGet, v.settings.CallerAddress, d.example.onceOnly, "/ready"),
+			)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Second)
+	return nil
+}
+
+// local lists the backend servers of a service in a region.
+func (d *deployment) local(service shmodel.Service, region shmodel.Region) []backend {
+	var list []backend
+	for _, b := range d.backends {
+		if b.service == service && b.place.Region == region {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+// latencies compares requests at one entry VM with direct calls in its region.
+func (d *deployment) latencies(c *client, v *vm) {
+	s := v.settings
+	fmt.Printf("Entry VM %s:\n\n| what | count | failed | p50 ms | p99 ms | p50 ratio | p99 ratio |\n|---|---|---|---|---|---|---|\n", s.VM)
+	for _, kind := range []struct {
+		name    string
+		method  string
+		service shmodel.Service
+		path    string
+	}{
+		{"idempotent", http.MethodGet, d.example.idempotent, "/records/1"},
+		{"once-only", http.MethodPost, d.example.onceOnly, d.example.onceOnlyPath},
+	} {
+		servers := d.local(kind.service, s.Region)
+		direct, path := newSample(), newSample()
+		var turn atomic.Int64
+		repeat(workers, latencyTime/2, func(int) {
+			b := servers[int(turn.Add(1))%len(servers)]
+			direct.time(func() error { return c.direct(kind.method, b, kind.path) })
+			path.time(func() error { return c.path(kind.method, s.CallerAddress, kind.service, kind.path) })
+		})
+		direct.row(kind.name+", direct call", direct)
+		path.row(kind.name+", whole path", direct)
+		if kind.method == http.MethodPost {
+			d.probes(v, direct)
+		}
+	}
+	fmt.Println()
+}
+
+// probes measures a claim and account records alone, as this entry VM makes
+// them, against direct calls.
+func (d *deployment) probes(v *vm, base *sample) {
+	s := v.settings
+	peers := shpeer.NewClient(shpeer.Config{Self: s.PeerAddress})
+	defer func() { _ = peers.Close() }()
+	var control []string
+	for _, p := range s.Peers {
+		if has(p, shsettings.Control) {
+			control = append(control, p.PeerAddress)
+		}
+	}
+	proposer := &shview.Proposer{Client: peers, Addresses: control}
+	claim, copied, durable := newSample(), newSample(), newSample()
+	var number atomic.Uint64
+	repeat(1, probeTime/3, func(int) { claim.time(func() error { return openClaim(proposer, s.VM, number.Add(1)) }) })
+	near, far := d.targets(v)
+	appendTo := func(address string, sync bool) error {
+		n := number.Add(1)
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		a, err := shpeer.Call[shaccount.AppendResponse](ctx, peers, address, shwire.MethodAccountAppend, shaccount.AppendRequest{
+			Origin: shaccount.Origin{VM: "shbench", Incarnation: 1}, Batch: n, Sync: sync, Records: []shrecord.Record{probeRecord(s.VM, n)},
+		})
+		if err == nil && a.Refused != "" {
+			err = errors.New(a.Reason)
+		}
+		return err
+	}
+	repeat(1, probeTime/3, func(int) { copied.time(func() error { return appendTo(near, false) }) })
+	repeat(1, probeTime/3, func(int) {
+		durable.time(func() error {
+			second := make(chan error, 1)
+			go func() { second <- appendTo(far, true) }()
+			return errors.Join(appendTo(near, true), <-second)
+		})
+	})
+	claim.row("claim alone", base)
+	copied.row("account copy alone", base)
+	durable.row("synced account record alone", base)
+}
+
+// targets returns the account VMs that the outbox of a VM prefers: the nearest
+// in another failure domain, and the next nearest in a third one. A VM with the
+// account role syncs the second copy on its own disk.
+func (d *deployment) targets(v *vm) (near, far string) {
+	var first shmodel.Place
+	shortest := time.Hour
+	for _, p := range v.settings.Peers {
+		place := shmodel.Place{Region: p.Region, FailureDomain: p.FailureDomain}
+		delay := d.delay(v.settings.Place(), place)
+		if has(p, shsettings.Account) && place != v.settings.Place() && delay < shortest {
+			near, first, shortest = p.PeerAddress, place, delay
+		}
+	}
+	if v.settings.Has(shsettings.Account) {
+		return near, v.settings.PeerAddress
+	}
+	shortest = time.Hour
+	for _, p := range v.settings.Peers {
+		place := shmodel.Place{Region: p.Region, FailureDomain: p.FailureDomain}
+		delay := d.delay(v.settings.Place(), place)
+		if has(p, shsettings.Account) && place != first && delay < shortest {
+			far, shortest = p.PeerAddress, delay
+		}
+	}
+	return near, far
+}
+
+func has(p shsettings.Peer, role shsettings.Role) bool {
+	for _, r := range p.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+// openClaim commits a claim whose attempt is never sent. Its dispatch deadline
+// is after the end of the measurement, so that nobody settles it.
+func openClaim(p *shview.Proposer, name shmodel.VM, n uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	r, err := shview.ProposeFor[shcontrol.ClaimResult](ctx, p, shcontrol.OpenClaim{
+		Key: shmodel.ClaimKey{Service: "shbench", Key: fmt.Sprint(name, n)}, RequestID: shmodel.RequestID(probeNumbers + n),
+		Attempt: shcontrol.Attempt{Number: 1, VM: name, BackendServer: "shbench", Address: "127.0.0.1:9", Incarnation: 1, DispatchBy: time.Now().Add(10 * time.Minute)},
+	})
+	if err == nil && r.Status != shcontrol.ClaimGranted {
+		err = fmt.Errorf("claim is %s", r.Status)
+	}
+	return err
+}
+
+func probeRecord(name shmodel.VM, n uint64) shrecord.Record {
+	return shrecord.Record{
+		RequestID: shmodel.RequestID(probeNumbers + n), Kind: shrecord.Opened, VM: name, At: time.Now(), Service: "shbench",
+		Method: http.MethodPost, Path: "/payments", Operation: shmodel.OnceOnly, Key: fmt.Sprint(n), Caller: "127.0.0.1",
+	}
+}
+
+// throughput loads one entry VM without the relay of callers, and reports rates
+// per second and per second of the CPU time of the daemon.
+func (d *deployment) throughput(c *client, v *vm) error {
+	s := v.settings
+	address := behindRelay(s.CallerAddress)
+	lookup := shwire.PathEntries + "?service=" + string(d.example.idempotent)
+	fmt.Printf("Load at entry VM %s, %d callers:\n\n| what | answered | failed | per s | per core-s of this daemon | CPU of all daemons, cores | resident MB of this daemon |\n|---|---|---|---|---|---|---|\n", s.VM, loadWorkers)
+	for _, kind := range []struct {
+		name string
+		call func() error
+	}{
+		{"idle", func() error { time.Sleep(100 * time.Millisecond); return nil }},
+		{"look-ups", func() error { return c.get(address, lookup, nil) }},
+		{"idempotent requests", func() error { return c.path(http.MethodGet, address, d.example.idempotent, "/records/1") }},
+		{"once-only requests", func() error { return c.path(http.MethodPost, address, d.example.onceOnly, d.example.onceOnlyPath) }},
+	} {
+		var failed atomic.Int64
+		taken := newSample()
+		own, all, err := d.usage(v)
+		if err != nil {
+			return err
+		}
+		begin := time.Now()
+		repeat(loadWorkers, loadTime, func(int) {
+			taken.time(func() error {
+				err := kind.call()
+				if err != nil {
+					failed.Add(1)
+					// A refusal costs little, and a loop without a pause would
+					// measure refusals only.
+					time.Sleep(5 * time.Millisecond)
+				}
+				return err
+			})
+		})
+		elapsed := time.Since(begin).Seconds()
+		ownAfter, allAfter, err := d.usage(v)
+		if err != nil {
+			return err
+		}
+		answered := float64(taken.values.TotalCount())
+		fmt.Printf("| %s | %.0f | %d | %.0f | %.0f | %.2f | %d |\n", kind.name, answered, failed.Load(), answered/elapsed,
+			answered/(ownAfter.CPU-own.CPU).Seconds(), (allAfter-all).Seconds()/elapsed, ownAfter.Resident>>20)
+		if taken.first != nil {
+			fmt.Printf("<!-- first failure: %v -->\n", taken.first)
+		}
+	}
+	return nil
+}
+
+// usage returns what a daemon has used, and the CPU time of all daemons.
+func (d *deployment) usage(v *vm) (own shusage.Process, all time.Duration, err error) {
+	for _, x := range d.vms {
+		u, err := shusage.OfProcess(x.process.Process.Pid)
+		if err != nil {
+			return own, 0, err
+		}
+		all += u.CPU
+		if x == v {
+			own = u
+		}
+	}
+	return own, all, nil
+}
