--- a/transport/shview/syncer.go
+++ b/transport/shview/syncer.go
@@ -176,7 +176,7 @@
 		next.Suspects = suspects(r.Suspects)
 		next.Drains = r.Drains
 		next.Owed = r.Owed
-		next.confirmed = latest(next.confirmed, asked.Add(-r.ConfirmedAge))
+		next.Confirm(asked.Add(-r.ConfirmedAge))
 	}
 	s.current = next
 	s.view.Store(&next)
@@ -235,10 +235,3 @@
 	}
 	return m
 }
-
-func latest(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/transport/shview/view.go
+++ b/transport/shview/view.go
@@ -66,6 +66,14 @@
 // Ready reports whether a configuration is known.
 func (v *View) Ready() bool { return v != nil && v.Config != nil }
 
+// Confirm notes that a quorum confirmed the configuration at a time. An earlier
+// time changes nothing. It must not be called on a published View.
+func (v *View) Confirm(at time.Time) {
+	if at.After(v.confirmed) {
+		v.confirmed = at
+	}
+}
+
 // Confirmed reports whether a quorum confirmed the configuration within
 // ConfirmedFor.
 func (v *View) Confirmed(now time.Time) bool {
