--- a/transport/shdaemon/faults_test.go
+++ b/transport/shdaemon/faults_test.go
@@ -21,6 +21,57 @@
 	"sequoiahollow/transport/shcaller"
 )
 
+// Of edits with equal base revisions one is accepted; resends change nothing;
+// a restart after hundreds of edits brings back none of the old ones.
+func TestConfigurationEdits(t *testing.T) {
+	const rounds, editsInAll = 10, 300
+	d := deploy(t, false)
+	operators := []*vm{d.vms["south-a-2"], d.vms["victoria-b-1"]}
+	edit := func(id string, base uint64) shcontrol.ApplyConfig {
+		c := d.config
+		c.Limits.ClaimHours = 1 + int(base)%30
+		return shcontrol.ApplyConfig{EditID: id, BaseRevision: base, Config: c}
+	}
+	for base := uint64(1); base <= rounds; base++ {
+		var group sync.WaitGroup
+		results := make([]shcontrol.ConfigResult, 2*len(operators))
+		for i := range results {
+			group.Go(func() {
+				// Two sends of the same edit through each operator.
+				results[i], _ = d.operator(operators[i%2]).Apply(context.Background(), edit(fmt.Sprint("race ", base, " ", i%2), base))
+			})
+		}
+		group.Wait()
+		won := 0
+		for i := range operators {
+			first, second := results[i], results[i+2]
+			assert.Equal(t, first.Accepted, second.Accepted, "resend of edit %d at base %d", i, base)
+			if first.Accepted {
+				won++
+				assert.Equal(t, first.Revision, base+1)
+				assert.Equal(t, second.Revision, base+1)
+			}
+		}
+		assert.Equal(t, won, 1, "accepted edits on revision %d", base)
+	}
+	for base := uint64(rounds + 1); base < editsInAll; base++ {
+		r, err := d.operator(operators[0]).Apply(context.Background(), edit(fmt.Sprint("edit ", base), base))
+		assert.NilError(t, err)
+		assert.Equal(t, r.Revision, base+1)
+	}
+	again, err := d.operator(operators[1]).Apply(context.Background(), edit("edit 150", 150))
+	assert.NilError(t, err)
+	assert.Equal(t, again.Revision, uint64(151), "resend of an old edit")
+	for _, v := range d.running() {
+		d.kill(v)
+	}
+	for _, v := range d.vms {
+		d.start(v)
+	}
+	eventually(t, "last revision in effect everywhere", func() bool { return d.inEffect(editsInAll, d.names()...) })
+	d.check()
+}
+
 // A killed entry VM must not lose, repeat or misreport a request.
 //
 // Nor must a killed leader, with its part of the account.
@@ -301,54 +352,3 @@
 	_ = json.NewDecoder(response.Body).Decode(&answer)
 	return response.StatusCode, answer.Nonce
 }
-
-// Of edits with equal base revisions one is accepted; resends change nothing;
-// a restart after hundreds of edits brings back none of the old ones.
-func TestConfigurationEdits(t *testing.T) {
-	const rounds, editsInAll = 10, 300
-	d := deploy(t, false)
-	operators := []*vm{d.vms["south-a-2"], d.vms["victoria-b-1"]}
-	edit := func(id string, base uint64) shcontrol.ApplyConfig {
-		c := d.config
-		c.Limits.ClaimHours = 1 + int(base)%30
-		return shcontrol.ApplyConfig{EditID: id, BaseRevision: base, Config: c}
-	}
-	for base := uint64(1); base <= rounds; base++ {
-		var group sync.WaitGroup
-		results := make([]shcontrol.ConfigResult, 2*len(operators))
-		for i := range results {
-			group.Go(func() {
-				// Two sends of the same edit through each operator.
-				results[i], _ = d.operator(operators[i%2]).Apply(context.Background(), edit(fmt.Sprint("race ", base, " ", i%2), base))
-			})
-		}
-		group.Wait()
-		won := 0
-		for i := range operators {
-			first, second := results[i], results[i+2]
-			assert.Equal(t, first.Accepted, second.Accepted, "resend of edit %d at base %d", i, base)
-			if first.Accepted {
-				won++
-				assert.Equal(t, first.Revision, base+1)
-				assert.Equal(t, second.Revision, base+1)
-			}
-		}
-		assert.Equal(t, won, 1, "accepted edits on revision %d", base)
-	}
-	for base := uint64(rounds + 1); base < editsInAll; base++ {
-		r, err := d.operator(operators[0]).Apply(context.Background(), edit(fmt.Sprint("edit ", base), base))
-		assert.NilError(t, err)
-		assert.Equal(t, r.Revision, base+1)
-	}
-	again, err := d.operator(operators[1]).Apply(context.Background(), edit("edit 150", 150))
-	assert.NilError(t, err)
-	assert.Equal(t, again.Revision, uint64(151), "resend of an old edit")
-	for _, v := range d.running() {
-		d.kill(v)
-	}
-	for _, v := range d.vms {
-		d.start(v)
-	}
-	eventually(t, "last revision in effect everywhere", func() bool { return d.inEffect(editsInAll, d.names()...) })
-	d.check()
-}
