Show what each accepted edit changed

The history listed edits without their changes, although the interface promised them. The replicated state has the patch back to each earlier revision.

--- a/protocol/shwire/peer.go
+++ b/protocol/shwire/peer.go
@@ -40,18 +40,18 @@
 
 // ReadRequest asks the leader for a quorum-confirmed read.
 type ReadRequest struct {
-	History bool `json:"history,omitempty"`
+	// History is the number of edits to return, newest first.
+	History int  `json:"history,omitempty"`
 	Ranges  bool `json:"ranges,omitempty"`
 	Entries bool `json:"entries,omitempty"`
 }
 
 // ReadResponse is the replicated state that a read asked for.
 type ReadResponse struct {
-	Revision uint64               `json:"revision"`
-	Config   shconfig.Config      `json:"config"`
-	History  []shcontrol.Revision `json:"history,omitempty"`
-	Ranges   []shrecord.Range     `json:"ranges,omitempty"`
-	Grants   []shcontrol.Grant    `json:"grants,omitempty"`
+	Revision uint64           `json:"revision"`
+	Config   shconfig.Config  `json:"config"`
+	History  []shcontrol.Edit `json:"history,omitempty"`
+	Ranges   []shrecord.Range `json:"ranges,omitempty"`
 	// Entries is the directory of the leader, which is soft state.
 	Entries []shdirectory.Heartbeat `json:"entries,omitempty"`
 	Leader  shmodel.VM              `json:"leader,omitempty"`
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -98,6 +98,8 @@
 say 'configuration in force at each daemon'
 sleep 1
 "$sequoiahollow" config status
+say "accepted edits"
+"$sequoiahollow" config history | cut -c1-160 | head -3
 say 'service-level burn'
 "$sequoiahollow" report burn
 
--- a/transport/shdaemon/faults_test.go
+++ b/transport/shdaemon/faults_test.go
@@ -314,9 +314,9 @@
 		BackendServer: "liar", Service: records, Address: address, Place: owner.Place(), Incarnation: 1, Slots: 3, Connections: 360,
 	}
 	for name, change := range map[string]func(*shwire.Announcement){
-		"negative slots":  func(a *shwire.Announcement) { a.Slots = -1 },
-		"no address":      func(a *shwire.Announcement) { a.Address = "" },
-		"other region":    func(a *shwire.Announcement) { a.Place.Region = north },
+		"negative slots": func(a *shwire.Announcement) { a.Slots = -1 },
+		"no address":     func(a *shwire.Announcement) { a.Address = "" },
+		"other region":   func(a *shwire.Announcement) { a.Place.Region = north },
 	} {
 		a := good
 		change(&a)
--- a/transport/shdaemon/operations.go
+++ b/transport/shdaemon/operations.go
@@ -80,16 +80,15 @@
 
 // History implements shoperator.Backend.
 func (o operations) History(ctx context.Context, limit int) ([]shoperator.Edit, error) {
-	r, err := o.proposer.Read(ctx, shwire.ReadRequest{History: true})
+	r, err := o.proposer.Read(ctx, shwire.ReadRequest{History: limit})
 	if err != nil {
 		return nil, unavailable("read history", err)
 	}
-	edits := make([]shoperator.Edit, 0, limit)
-	for _, x := range slices.Backward(r.History) {
-		if len(edits) == limit {
-			break
-		}
-		edits = append(edits, shoperator.Edit{Revision: x.Number, EditID: x.EditID, Author: x.Author, At: x.At})
+	edits := make([]shoperator.Edit, 0, len(r.History))
+	for _, x := range r.History {
+		edits = append(edits, shoperator.Edit{
+			Revision: x.Number, EditID: x.EditID, Author: x.Author, At: x.At, Changes: x.Changes,
+		})
 	}
 	return edits, nil
 }
--- a/transport/shentry/bench_test.go
+++ b/transport/shentry/bench_test.go
@@ -91,7 +91,7 @@
 		Control: func(context.Context, shcontrol.Command) (shcontrol.Result, error) {
 			return nil, fmt.Errorf("no control in this benchmark")
 		},
-		Account: outbox, IDs: ids, Policy: shrouting.Objectives{}, Observe: func(shrecord.Record) {},
+		Account: outbox, IDs: ids, Policy: shrouting.Objectives{}, Observe: func(shrecord.Record, bool) {},
 		Log:     slog.New(slog.DiscardHandler),
 		Slots:   shentry.NewSlots("salt", 0, func(shslot.CrashSuspected) {}),
 		Links:   &shentry.Links{VM: "vm-0", Region: "region-0", Permitted: func() bool { return false }},
--- a/transport/shreplica/replica.go
+++ b/transport/shreplica/replica.go
@@ -148,13 +148,13 @@
 
 func (r *Replica) read(ctx context.Context, q shwire.ReadRequest) (shwire.ReadResponse, error) {
 	var a shwire.ReadResponse
+	var failure error
 	err := r.store.Read(ctx, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		a.Revision, a.Config = r.state.Config()
-		if q.History {
-			a.History = r.state.History()
-			a.Grants = r.state.Grants()
+		if q.History > 0 {
+			a.History, failure = r.state.Edits(q.History)
 		}
 		if q.Ranges {
 			a.Ranges = r.state.Ranges()
@@ -170,7 +170,7 @@
 		// The function may still run when the deadline has passed.
 		return shwire.ReadResponse{}, err
 	}
-	return a, nil
+	return a, failure
 }
 
 func (r *Replica) sync(_ context.Context, q shwire.SyncRequest) (shwire.SyncResponse, error) {
