--- a/transport/shdaemon/deployment_test.go
+++ b/transport/shdaemon/deployment_test.go
@@ -40,6 +40,7 @@
 
 	records  shmodel.Service = "field-sampling-records"
 	payments shmodel.Service = "issuance-payments-ledger"
+	library  shmodel.Service = "methodology-library"
 
 	south    shmodel.Region = "tasmania-south"
 	north    shmodel.Region = "tasmania-north"
@@ -61,7 +62,10 @@
 	vms     map[shmodel.VM]*vm
 	network *network
 	config  shconfig.Config
+	token   string
 	history history
+	// external says that a script starts and ends the processes.
+	external bool
 }
 
 // vm is one daemon.
@@ -82,14 +86,14 @@
 	t.Parallel()
 	concurrent <- struct{}{}
 	t.Cleanup(func() { <-concurrent })
-	d := &deployment{t: t, folder: t.TempDir(), vms: map[shmodel.VM]*vm{}}
+	d := &deployment{t: t, folder: t.TempDir(), vms: map[shmodel.VM]*vm{}, token: strings.Repeat("t", 32)}
 	// The process ID keeps test runs on one machine apart.
 	prefix := fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, deployments.Add(1))
 	if relayed {
 		d.network = &network{known: map[string]endpoint{}, done: make(chan struct{})}
 		t.Cleanup(func() { close(d.network.done) })
 	}
-	assert.NilError(t, os.WriteFile(d.path("token"), []byte(strings.Repeat("t", 32)), 0o600))
+	assert.NilError(t, os.WriteFile(d.path("token"), []byte(d.token), 0o600))
 	files, err := filepath.Glob(exampleFolder + "/settings/*.json")
 	assert.NilError(t, err)
 	assert.Equal(t, len(files), 7)
@@ -206,7 +210,7 @@
 
 // operator returns a client of the operator interface of a VM.
 func (d *deployment) operator(v *vm) *shoperator.Client {
-	return &shoperator.Client{Address: v.settings.OperatorAddress, Token: strings.Repeat("t", 32), RetryPause: 100 * time.Millisecond}
+	return &shoperator.Client{Address: v.settings.OperatorAddress, Token: d.token, RetryPause: 100 * time.Millisecond}
 }
 
 // gauge reports whether a gauge of a VM is not 0.
@@ -224,7 +228,7 @@
 func (d *deployment) running() []*vm {
 	var list []*vm
 	for _, name := range slices.Sorted(maps.Keys(d.vms)) {
-		if v := d.vms[name]; v.process != nil && !v.frozen {
+		if v := d.vms[name]; d.external || v.process != nil && !v.frozen {
 			list = append(list, v)
 		}
 	}
--- a/transport/shdaemon/faults_test.go
+++ b/transport/shdaemon/faults_test.go
@@ -97,9 +97,9 @@
 	d := deploy(t, true)
 	d.backends(south, victoria)
 	inside, outside := d.vms["victoria-b-1"], d.vms["south-a-2"]
-	d.backend("library", "methodology-library", south, nil)
+	d.backend("library", library, south, nil)
 	eventually(t, "shift to the other region", func() bool {
-		return d.history.get(d.only(inside), "methodology-library", time.Second).Outcome == shmodel.Answered
+		return d.history.get(d.only(inside), library, time.Second).Outcome == shmodel.Answered
 	})
 	d.network.hold(around(func(e endpoint) bool { return e.region == victoria }))
 	eventually(t, "end of the confirmation", func() bool {
@@ -109,7 +109,7 @@
 	assert.Equal(t, a.Outcome, shmodel.Answered, "idempotent work in the region: %s", a.Body)
 	a = d.history.do(d.only(inside), d.history.payment("cut off", 500*time.Millisecond))
 	assert.Equal(t, a.Outcome, shmodel.NotRun, "once-only work: %s", a.Body)
-	a = d.history.get(d.only(inside), "methodology-library", 500*time.Millisecond)
+	a = d.history.get(d.only(inside), library, 500*time.Millisecond)
 	assert.Equal(t, a.Outcome, shmodel.NotRun, "shift: %s", a.Body)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
@@ -133,15 +133,32 @@
 func TestPlannedStopUnderLoad(t *testing.T) {
 	d := deploy(t, false)
 	d.backends(south, north, victoria)
+	for _, region := range []shmodel.Region{south, north, victoria} {
+		d.backend("library-"+string(region), library, region, func(c *shbackend.Config) { c.ServiceTime = 500 * time.Millisecond })
+	}
 	stop := d.load(3)
 	d.answered(10)
-	d.stop(d.leader(""))
-	d.stop(d.vms["south-a-2"])
+	var long sync.WaitGroup
+	for _, v := range []*vm{d.leader(""), d.vms["south-a-2"]} {
+		eventually(t, "answer of the slow service", func() bool {
+			return d.history.get(d.only(v), library, 3*time.Second).Outcome == shmodel.Answered
+		})
+		// Requests that are in flight when the stop begins and in its course.
+		for n := range 8 {
+			long.Go(func() {
+				time.Sleep(time.Duration(n/2) * 200 * time.Millisecond)
+				d.history.get(d.only(v), library, 10*time.Second)
+			})
+		}
+		d.stop(v)
+	}
 	d.answered(10)
 	stop()
+	long.Wait()
 	for _, s := range d.history.sends {
 		if s.err != nil || s.answer.Outcome == shmodel.Unknown || s.answer.Sends > 1 {
-			t.Errorf("request cut: %s %s: sends %d, outcome %q, error %v", s.request.Method, s.request.URI, s.answer.Sends, s.answer.Outcome, s.err)
+			t.Errorf("request cut at %s: %s %s: sends %d, outcome %q %s, error %v",
+				s.answer.Entry.VM, s.request.Method, s.request.URI, s.answer.Sends, s.answer.Outcome, reasonOf(s.answer), s.err)
 		}
 	}
 	d.check()
@@ -292,6 +309,14 @@
 	leaving := d.backend("leaving", records, south, nil)
 	stop := d.load(4)
 	d.answered(10)
+	var crowd sync.WaitGroup
+	for n := range 60 {
+		// More requests than slots, to one region.
+		crowd.Go(func() {
+			d.history.get(d.only(d.vms[[]shmodel.VM{"south-a-1", "south-b-1"}[n%2]]), records, time.Second)
+		})
+	}
+	crowd.Wait()
 	d.lie(leaving.Address())
 	begun := time.Now()
 	leaving.Leave()
