--- a/transport/shdaemon/relay_test.go
+++ b/transport/shdaemon/relay_test.go
@@ -36,6 +36,39 @@
 	delay time.Duration
 	// opened counts connections; those up to silent pass nothing any more.
 	opened, silent int
+	// forwarded and control count the bytes between two regions.
+	forwarded, control map[[2]shmodel.Region]int64
+}
+
+// count adds what passes between two regions. VM is known for control messages
+// only.
+func (n *network) count(from, to endpoint, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	link := [2]shmodel.Region{from.region, to.region}
+	if n.forwarded == nil {
+		n.forwarded, n.control = map[[2]shmodel.Region]int64{}, map[[2]shmodel.Region]int64{}
+	}
+	if from.vm == "" || to.vm == "" {
+		n.forwarded[link] += int64(bytes)
+		return
+	}
+	n.control[link] += int64(bytes)
+}
+
+// resetCounts starts the counts again.
+func (n *network) resetCounts() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.forwarded, n.control = nil, nil
+}
+
+// counts returns the bytes from one region to another since the last reset.
+func (n *network) counts(from, to shmodel.Region) (forwarded, control int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	link := [2]shmodel.Region{from, to}
+	return n.forwarded[link], n.control[link]
 }
 
 // hold replaces the fault; nil lifts it.
@@ -122,6 +155,7 @@
 			_ = target.Close()
 			return
 		}
+		n.count(from, to, count)
 		if _, err := target.Write(buffer[:count]); err != nil {
 			return
 		}
