Take the defaults of limits from shconfig

shcontrol, shlimit and shslot repeated the default claim retention, clock error, crash limit and shares of shconfig. RetryBudget and HedgeBudget had no caller besides their test, which now sets the same shares.

--- a/coordination/shcontrol/claims.go
+++ b/coordination/shcontrol/claims.go
@@ -16,10 +16,6 @@
 	// body.
 	MaxRecordedAnswer = 64 << 10
 
-	// defaultClaimAge is how long full claims are kept if the configuration
-	// does not say.
-	defaultClaimAge = 24 * time.Hour
-
 	// expiredPerApply bounds the expiry work of one command. A command adds at
 	// most one entry to each map, so the backlog shrinks with every command.
 	expiredPerApply = 8
@@ -304,7 +300,7 @@
 		return err
 	}
 	if len(data)%len(keyHash{}) != 0 {
-		return fmt.Errorf("%d bytes of key hashes", len(data))
+		return fmt.Errorf("key hashes: %d bytes are no multiple of %d", len(data), len(keyHash{}))
 	}
 	h.set = make(map[keyHash]struct{}, len(data)/len(keyHash{}))
 	for hash := range slices.Chunk(data, len(keyHash{})) {
--- a/coordination/shcontrol/state.go
+++ b/coordination/shcontrol/state.go
@@ -10,10 +10,6 @@
 	"sequoiahollow/state/shrecord"
 )
 
-// defaultClockError is the largest difference between the clocks of VMs if the
-// configuration does not say.
-const defaultClockError = 500 * time.Millisecond
-
 // State is the replicated state. The zero value is the state before the first
 // command. It has one owner at a time; results and views share configurations
 // with it, which nobody may modify.
@@ -155,14 +151,14 @@
 
 func claimAge(l shconfig.Limits) time.Duration {
 	if l.ClaimHours <= 0 {
-		return defaultClaimAge
+		return shconfig.DefaultClaimRetention
 	}
 	return time.Duration(l.ClaimHours) * time.Hour
 }
 
 func clockError(l shconfig.Limits) time.Duration {
 	if l.ClockErrorMS <= 0 {
-		return defaultClockError
+		return shconfig.DefaultClockError
 	}
 	return time.Duration(l.ClockErrorMS) * time.Millisecond
 }
@@ -170,7 +166,7 @@
 func rulesOf(l shconfig.Limits) strikeRules {
 	rules := strikeRules{limit: l.CrashLimit, clockError: clockError(l)}
 	if rules.limit <= 0 {
-		rules.limit = defaultCrashLimit
+		rules.limit = shconfig.DefaultCrashLimit
 	}
 	return rules
 }
--- a/coordination/shcontrol/strikes.go
+++ b/coordination/shcontrol/strikes.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// defaultCrashLimit is the number of crashed backend servers at which a
-	// digest is quarantined if the configuration does not say.
-	defaultCrashLimit = 2
-
 	// maxSolo bounds how far in the future a solo run may end, and with it how
 	// long ended runs have to be remembered.
 	maxSolo = 10 * time.Minute
--- a/coordination/shlimit/budget_test.go
+++ b/coordination/shlimit/budget_test.go
@@ -8,12 +8,13 @@
 	"pgregory.net/rapid"
 
 	"sequoiahollow/coordination/shlimit"
+	"sequoiahollow/state/shconfig"
 )
 
 // Guards against retries that multiply the load of a failing service.
 func TestShareBudgetBoundsExtraAttempts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := shlimit.RetryBudget(0)
+		b := shlimit.ShareBudget{Share: shconfig.DefaultRetryShare}
 		at := start
 		requests, spent := 0, 0
 		for range rapid.IntRange(1, 500).Draw(t, "steps") {
@@ -26,11 +27,11 @@
 				spent++
 			}
 		}
-		allowed := float64(requests)*shlimit.DefaultRetryShare + at.Sub(start).Seconds()
+		allowed := float64(requests)*shconfig.DefaultRetryShare + at.Sub(start).Seconds()
 		assert.Assert(t, float64(spent) <= allowed+1e-6)
 		assert.Assert(t, float64(spent) >= allowed-21)
 	})
-	quiet := shlimit.HedgeBudget(0)
+	quiet := shlimit.ShareBudget{Share: shconfig.DefaultHedgeShare}
 	quiet.Request(start)
 	saved := 0
 	for quiet.Spend(start.Add(time.Hour)) {
--- a/coordination/shslot/table.go
+++ b/coordination/shslot/table.go
@@ -105,15 +105,6 @@
 	maxNonces = 4
 )
 
-// DefaultReserveShare returns the share of slots kept for the region: 20% if
-// headroom comes first, 10% if latency does.
-func DefaultReserveShare(headroomFirst bool) float64 {
-	if headroomFirst {
-		return 0.2
-	}
-	return 0.1
-}
-
 // Table is the table of one owner. Create it with New.
 type Table struct {
 	salt         string
--- a/internal/shmeasure/vm.go
+++ b/internal/shmeasure/vm.go
@@ -76,7 +76,8 @@
 
 func (v *vm) reset() {
 	n := len(v.world.services)
-	v.table = shslot.New(string(v.name)+"-"+time.Duration(v.life).String(), shslot.DefaultReserveShare(v.world.objective() == shconfig.Headroom))
+	limits := shconfig.Limits{}.WithDefaults(v.world.objective())
+	v.table = shslot.New(string(v.name)+"-"+time.Duration(v.life).String(), limits.ReserveShare)
 	v.books = make([]shrouting.Book, n)
 	v.waiting = make([][]*lookup, n)
 	v.mean = make([]time.Duration, n)
