--- a/transport/shcaller/caller.go
+++ b/transport/shcaller/caller.go
@@ -27,6 +27,7 @@
 )
 
 const (
+	// maxAnswer bounds the body of an answer, in bytes.
 	maxAnswer     = 64 << 20
 	lookupTimeout = 2 * time.Second
 	dialTimeout   = time.Second
@@ -42,8 +43,8 @@
 
 // Kinds of errors.
 const (
-	// KindLookup says that no entry VM answered a look-up.
-	KindLookup Kind = "look-up"
+	// KindLookup says that no entry VM answered a lookup.
+	KindLookup Kind = "lookup"
 	// KindSend says that no entry VM gave an answer.
 	KindSend Kind = "send"
 )
@@ -55,20 +56,23 @@
 	Err  error
 }
 
+// Error implements error.
 func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Request is one request of a caller. Key is needed for once-only operations.
+// Request is one request of a caller.
 type Request struct {
 	Service shmodel.Service
 	Method  string
 	// URI is the path with an optional query.
-	URI     string
-	Key     string
-	Header  http.Header
-	Body    []byte
+	URI string
+	// Key is the idempotency key, which once-only operations need.
+	Key    string
+	Header http.Header
+	Body   []byte
+	// Timeout covers all sends of the request; 0 selects 5 s.
 	Timeout time.Duration
 }
 
@@ -85,9 +89,11 @@
 	Sends int
 }
 
-// Client sends requests. Seeds lists caller addresses of entry VMs to ask
-// first. It is safe for concurrent use.
+// Client sends requests. It is safe for concurrent use. Its errors are of type
+// *Error.
 type Client struct {
+	// Seeds lists caller addresses of entry VMs, IP:port, to ask while no entry
+	// VM is known or none of the known ones answers.
 	Seeds []string
 
 	once    sync.Once
@@ -139,6 +145,9 @@
 	if len(old.entries.Entries) > 0 {
 		return old.entries, nil
 	}
+	if len(failures) == 0 {
+		failures = append(failures, errors.New("no entry VM to ask"))
+	}
 	return shwire.Entries{}, &Error{Op: "lookup", Kind: KindLookup, Err: errors.Join(failures...)}
 }
 
@@ -171,11 +180,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return e, fmt.Errorf("look-up at %s answered with status %d", address, response.StatusCode)
+		return e, fmt.Errorf("lookup at %s answered with status %d", address, response.StatusCode)
 	}
 	err = json.NewDecoder(io.LimitReader(response.Body, 1<<20)).Decode(&e)
 	if err == nil && len(e.Entries) == 0 {
-		err = fmt.Errorf("look-up at %s returned no entry VM", address)
+		err = fmt.Errorf("lookup at %s returned no entry VM", address)
 	}
 	return e, err
 }
@@ -209,8 +218,9 @@
 	return Answer{}, &Error{Op: "request", Kind: KindSend, Err: errors.Join(failures...)}
 }
 
-// Forget drops the cached look-up of a service.
+// Forget drops the cached lookup of a service.
 func (c *Client) Forget(service shmodel.Service) {
+	c.init()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.lookups[service]
