--- a/coordination/shraft/raft.go
+++ b/coordination/shraft/raft.go
@@ -91,11 +91,6 @@
 	Entries  []Entry
 }
 
-// IsEmpty reports whether the node never took part in a group.
-func (s Stored) IsEmpty() bool {
-	return s.State == HardState{} && s.Snapshot.Index == 0 && len(s.Entries) == 0
-}
-
 // Defaults of Config. The election timeout is ten round trips of the slowest
 // link (35 ms one way), so that a few lost heartbeats cause no election. The
 // sizes keep a message on the thinnest link (280 Mbit/s) to about 10 ms, so that
--- a/protocol/shwire/peer.go
+++ b/protocol/shwire/peer.go
@@ -17,7 +17,6 @@
 	MethodRead          = "control.read"
 	MethodSync          = "control.sync"
 	MethodNews          = "control.news"
-	MethodJoin          = "control.join"
 	MethodCredit        = "slot.credit"
 	MethodSlots         = "slot.report"
 	MethodAccountAppend = "account.append"
