--- a/transport/shbackend/server.go
+++ b/transport/shbackend/server.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +25,9 @@
 )
 
 // HeaderFault asks the stand-in for a fault: FaultCrash, FaultSilent,
-// FaultBreak, FaultSlow or FaultWrongID.
+// FaultBreak, FaultSlow, FaultWrongID or FaultShed. In a list with commas each
+// value is for one attempt, and the last one for all further attempts; an empty
+// value is no fault.
 const HeaderFault = "Stand-In-Fault"
 
 // Values of HeaderFault.
@@ -39,6 +42,8 @@
 	FaultSlow = "slow"
 	// FaultWrongID answers with the request ID of another request.
 	FaultWrongID = "wrong-id"
+	// FaultShed refuses the request as if all slots were taken.
+	FaultShed = "shed"
 )
 
 const (
@@ -178,14 +183,14 @@
 		return
 	}
 	s.journal("started", r, id)
-	cancelled := s.run(ctx, r)
+	cancelled := s.run(ctx, r, id)
 	s.finish(id, cancelled)
 	if cancelled {
 		s.journal("cancelled", r, id)
 		panic(http.ErrAbortHandler)
 	}
 	s.journal("finished", r, id)
-	s.answer(w, r, body)
+	s.answer(w, r, id, body)
 }
 
 // admit takes a slot. The returned reason says why the request is not run.
@@ -202,7 +207,7 @@
 	if a := s.attempts[id]; a != nil {
 		return nil, "cancelled before start"
 	}
-	if s.inFlight >= s.config.Slots {
+	if s.inFlight >= s.config.Slots || faultOf(r, id) == FaultShed {
 		return nil, "shed"
 	}
 	ctx, cancel := context.WithCancel(r.Context())
@@ -221,12 +226,12 @@
 }
 
 // run reports whether the request was cancelled before its end.
-func (s *Server) run(ctx context.Context, r *http.Request) bool {
+func (s *Server) run(ctx context.Context, r *http.Request, id attemptID) bool {
 	d := s.config.ServiceTime
 	if s.cold() && s.config.ColdFactor > 1 {
 		d = time.Duration(float64(d) * s.config.ColdFactor)
 	}
-	switch r.Header.Get(HeaderFault) {
+	switch faultOf(r, id) {
 	case FaultCrash:
 		s.crash()
 	case FaultSlow:
@@ -263,12 +268,12 @@
 	}
 }
 
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, id attemptID, body []byte) {
 	content := fmt.Appendf(nil, "%s ran %s %s, body %d bytes\n", s.config.BackendServer, r.Method, r.URL.Path, len(body))
 	if size, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil && size > 0 && size <= maxBody {
 		content = make([]byte, size)
 	}
-	switch r.Header.Get(HeaderFault) {
+	switch faultOf(r, id) {
 	case FaultSilent:
 		<-r.Context().Done()
 		return
@@ -357,3 +362,9 @@
 	ms, err := strconv.ParseInt(r.Header.Get(shwire.HeaderDeadline), 10, 64)
 	return time.UnixMilli(ms), err == nil
 }
+
+// faultOf returns the fault that is asked for an attempt.
+func faultOf(r *http.Request, id attemptID) string {
+	faults := strings.Split(r.Header.Get(HeaderFault), ",")
+	return faults[min(max(int(id.number), 1), len(faults))-1]
+}
