shbackend: never answer not-run to an attempt that arrives again

Cause: any known attempt was refused as cancelled before its start, with outcome not-run, also one that was running or had run. Ruled out: the entry VM sends no attempt twice (TestSendOnce); the promise was wrong all the same, and backend servers are written after the stand-in. Before: 503 not-run for an attempt that ran. After: the connection is closed, which is an uncertain result, and a cancellation tells what became of it. Conclusion: only a mark left by a cancellation permits not-run.

--- a/transport/shbackend/server.go
+++ b/transport/shbackend/server.go
@@ -88,8 +88,8 @@
 	ReportLag time.Duration
 }
 
-// JournalLine is one event of a run: "started", "finished", "shed", "expired"
-// or "cancelled".
+// JournalLine is one event of a run: "started", "finished" or "cancelled", or why
+// a request was not run.
 type JournalLine struct {
 	Event         string                `json:"event"`
 	At            time.Time             `json:"at"`
@@ -102,6 +102,9 @@
 	InFlight      int                   `json:"inFlight"`
 }
 
+// repeated is the event of an attempt that arrives again.
+const repeated = "repeated"
+
 type attemptID struct {
 	request shmodel.RequestID
 	number  uint32
@@ -185,6 +188,11 @@
 	s.journal("started", r, id)
 	cancelled := s.run(ctx, r, id)
 	s.finish(id, cancelled)
+	if refused == repeated {
+		// The first arrival runs or ran, so that not-run would be wrong.
+		s.journal(refused, r, id)
+		panic(http.ErrAbortHandler)
+	}
 	if cancelled {
 		s.journal("cancelled", r, id)
 		panic(http.ErrAbortHandler)
@@ -204,7 +212,9 @@
 	if s.otherIncarnation(r) {
 		return nil, "other incarnation"
 	}
-	if a := s.attempts[id]; a != nil {
+	if a := s.attempts[id]; a != nil && a.status != shwire.CancelNotRun {
+		return nil, repeated
+	} else if a != nil {
 		return nil, "cancelled before start"
 	}
 	if s.inFlight >= s.config.Slots || faultOf(r, id) == FaultShed {
