shbackend: tell requests of callers from cancellations, and pass unclean paths

Cause: http.ServeMux redirects paths that are not clean, without the request ID, and took a caller's DELETE to /v1/requests/ID/ATTEMPT for a cancellation of another request. Ruled out: matching by path alone, since callers may use any path. Before: POST //x/../y got 307 without a request ID. A cancellation is a DELETE without Sequoiahollow-Attempt, which every request has. Conclusion: backend servers must look at the header first.

--- a/transport/shbackend/server.go
+++ b/transport/shbackend/server.go
@@ -141,10 +141,7 @@
 	}
 	c.Address = listener.Addr().String()
 	s := &Server{config: c, started: time.Now(), listener: listener, attempts: map[attemptID]*attemptState{}}
-	mux := http.NewServeMux()
-	mux.HandleFunc("DELETE "+shwire.PathRequests+"/{request}/{attempt}", s.handleCancel)
-	mux.HandleFunc("/", s.handleRequest)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = s.server.Serve(listener) }()
 	s.announce.start(s)
 	return s, nil
@@ -167,6 +164,18 @@
 
 func (s *Server) cold() bool { return time.Since(s.started) < s.config.ColdFor }
 
+// handle uses no http.ServeMux, which redirects requests whose path is not clean
+// without the request ID.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	attempt, ok := strings.CutPrefix(r.URL.Path, shwire.PathRequests+"/")
+	request, number, whole := strings.Cut(attempt, "/")
+	if r.Method == http.MethodDelete && ok && whole && r.Header.Get(shwire.HeaderAttempt) == "" {
+		s.handleCancel(w, r, request, number)
+		return
+	}
+	s.handleRequest(w, r)
+}
+
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	id, err := attemptOf(r.Header.Get(shwire.HeaderRequestID), r.Header.Get(shwire.HeaderAttempt))
 	if err != nil {
@@ -179,6 +188,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	ctx, refused := s.admit(r, id)
+	if refused == repeated {
+		// The first arrival runs or ran, so that not-run would be wrong.
+		s.journal(refused, r, id)
+		panic(http.ErrAbortHandler)
+	}
 	if refused != "" {
 		s.journal(refused, r, id)
 		w.Header().Set(shwire.HeaderOutcome, string(shmodel.NotRun))
@@ -188,11 +202,6 @@
 	s.journal("started", r, id)
 	cancelled := s.run(ctx, r, id)
 	s.finish(id, cancelled)
-	if refused == repeated {
-		// The first arrival runs or ran, so that not-run would be wrong.
-		s.journal(refused, r, id)
-		panic(http.ErrAbortHandler)
-	}
 	if cancelled {
 		s.journal("cancelled", r, id)
 		panic(http.ErrAbortHandler)
@@ -299,8 +308,8 @@
 	_, _ = w.Write(content)
 }
 
-func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request) {
-	id, err := attemptOf(r.PathValue("request"), r.PathValue("attempt"))
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request, request, number string) {
+	id, err := attemptOf(request, number)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -368,13 +377,13 @@
 	return id, nil
 }
 
-func deadlineOf(r *http.Request) (time.Time, bool) {
-	ms, err := strconv.ParseInt(r.Header.Get(shwire.HeaderDeadline), 10, 64)
-	return time.UnixMilli(ms), err == nil
-}
-
 // faultOf returns the fault that is asked for an attempt.
 func faultOf(r *http.Request, id attemptID) string {
 	faults := strings.Split(r.Header.Get(HeaderFault), ",")
 	return faults[min(max(int(id.number), 1), len(faults))-1]
 }
+
+func deadlineOf(r *http.Request) (time.Time, bool) {
+	ms, err := strconv.ParseInt(r.Header.Get(shwire.HeaderDeadline), 10, 64)
+	return time.UnixMilli(ms), err == nil
+}
