shentry: answer requests whose path is not clean

Cause: http.ServeMux redirects them before admission. Ruled out: cleaning the path, since backend servers may read it differently. Before: POST //x/../y got 307 without request ID, outcome or record. After: the request is admitted and recorded like any other. Conclusion: the caller listener routes by comparing the look-up path only.

--- a/transport/shentry/caller.go
+++ b/transport/shentry/caller.go
@@ -26,12 +26,17 @@
 	retryAfter     = time.Second
 )
 
-// CallerHandler serves callers.
+// CallerHandler serves callers. It uses no http.ServeMux, which redirects
+// requests whose path is not clean without a request ID, outcome or record.
 func (e *Entry) CallerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+shwire.PathEntries, e.handleEntries)
-	mux.HandleFunc("/", e.handleRequest)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		lookup := r.Method == http.MethodGet || r.Method == http.MethodHead
+		if lookup && r.URL.Path == shwire.PathEntries {
+			e.handleEntries(w, r)
+			return
+		}
+		e.handleRequest(w, r)
+	})
 }
 
 // ServerHandler serves backend servers and other entry VMs.
