shentry: record the status of refusals and unknown outcomes

Cause: the record is written before the answer, whose status it should carry. Ruled out: writing it later, since a refusal is copied before its answer. Before: status 0 in the account for every outcome without an answer that the Receiver decides. After: the status that the caller gets. Conclusion: one function gives the status to the record and to the answer.

--- a/transport/shentry/receiver.go
+++ b/transport/shentry/receiver.go
@@ -128,6 +128,9 @@
 		if r.Status == 0 {
 			r.Status = c.status
 		}
+		if r.Status == 0 {
+			r.Status = problemStatus(r.Outcome, shrequest.Reason(r.Reason))
+		}
 		if r.AnswerBytes == 0 {
 			r.AnswerBytes = c.answerBytes
 		}
@@ -222,10 +225,7 @@
 		return
 	}
 	if a.Outcome != shmodel.Answered {
-		c.status = http.StatusBadGateway
-		if a.Reason == shrequest.ReasonInProgress || a.Reason == shrequest.ReasonDeadline {
-			c.status = http.StatusGatewayTimeout
-		}
+		c.status = problemStatus(a.Outcome, a.Reason)
 		WriteProblem(c.writer, problemOf(c.status, string(a.Reason), detailOf(a.Reason), c.request.ID, a.Outcome), time.Second)
 		return
 	}
@@ -249,12 +249,18 @@
 
 func (c *reception) refuse(f shrequest.RefuseCaller) {
 	c.answered = true
-	c.status = statusOf(f.Reason)
+	c.status = problemStatus(shmodel.NotRun, f.Reason)
 	WriteProblem(c.writer, problemOf(c.status, string(f.Reason), detailOf(f.Reason), c.request.ID, shmodel.NotRun), f.RetryAfter)
 }
 
-// statusOf returns the HTTP status of a refusal.
-func statusOf(r shrequest.Reason) int {
+// problemStatus returns the HTTP status of an outcome without an answer.
+func problemStatus(o shmodel.Outcome, r shrequest.Reason) int {
+	if o == shmodel.Unknown {
+		if r == shrequest.ReasonInProgress || r == shrequest.ReasonDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
 	switch r {
 	case shrequest.ReasonKeyConflict:
 		return http.StatusUnprocessableEntity
