shentry: measure the service time from whole answers only

Cause: an attempt that got no answer and was found done when it was cancelled counted as a run of that length. Ruled out: the weight of the mean; the first measurement is taken whole. Before: with a timeout of 800 ms, one silent connection made the mean 400 ms, and the retry was refused with no-capacity. After: the retry is answered. Conclusion: only a whole answer tells a service time.

--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -187,7 +187,11 @@
 	if fault != "" {
 		return resultOf(fault)
 	}
-	return x.complete(in)
+	result := x.complete(in)
+	if _, ok := result.(shrequest.Complete); ok {
+		l.Answered()
+	}
+	return result
 }
 
 // firstByte returns how long an attempt may wait for its answer. An idempotent
--- a/transport/shentry/slots.go
+++ b/transport/shentry/slots.go
@@ -159,6 +159,9 @@
 	request shmodel.RequestID
 	queued  bool
 	taken   time.Time
+	// answered says that a whole answer came. Other ends tell how long the
+	// answer was waited for, not the service time.
+	answered bool
 }
 
 // Want describes a slot for one attempt.
@@ -285,6 +288,13 @@
 	return l.slots.table.Dispatch(time.Now(), l.ID)
 }
 
+// Answered notes that a whole answer came.
+func (l *Slot) Answered() {
+	l.slots.mu.Lock()
+	defer l.slots.mu.Unlock()
+	l.answered = true
+}
+
 // Release ends the reservation. For a broken connection, verdict is called once
 // it is known whether the backend server died.
 func (l *Slot) Release(result shslot.Result, verdict func(crashed bool)) {
@@ -296,7 +306,7 @@
 	now := time.Now()
 	s.effects(s.table.Release(now, l.ID, result))
 	x := s.service(l.service)
-	if result == shslot.Completed {
+	if result == shslot.Completed && l.answered {
 		x.mean.add(now.Sub(l.taken))
 	}
 	if l.queued {
