shentry: take the restart of a backend server as the end of an attempt

Cause: the answer unknown, of another incarnation, counted as no answer, while shrequest expects it as done. Ruled out: taking it as not-run, since the attempt may have run before. Before: cancelAttempt returned CancelFailed for it, which is tried again until a limit. After: CancelDone. The comment on the header named done where the stand-in answers unknown; both are accepted. Conclusion: a process that is gone runs nothing any more.

--- a/protocol/shwire/wire.go
+++ b/protocol/shwire/wire.go
@@ -27,7 +27,7 @@
 	// HeaderIncarnation carries the incarnation of the backend server that an
 	// attempt is meant for, in requests and cancellations. A backend server of
 	// another incarnation has forgotten earlier runs and cancellations: it must
-	// refuse the request as not run, and answer done to the cancellation.
+	// refuse the request as not run, and answer unknown to the cancellation.
 	HeaderIncarnation = "Sequoiahollow-Incarnation"
 	// HeaderReplayed is "true" on a recorded answer.
 	HeaderReplayed = "Sequoiahollow-Replayed"
@@ -103,7 +103,8 @@
 	CancelRunning CancelStatus = "running"
 	// CancelDone says that the attempt ran to its end.
 	CancelDone CancelStatus = "done"
-	// CancelUnknown says that the backend server restarted since.
+	// CancelUnknown says that the backend server restarted since. The attempt does
+	// not run and will not, but may have run.
 	CancelUnknown CancelStatus = "unknown"
 )
 
--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -257,7 +257,8 @@
 		return shrequest.CancelNotRun{}
 	case shwire.CancelRunning:
 		return shrequest.CancelRunning{}
-	case shwire.CancelDone:
+	case shwire.CancelDone, shwire.CancelUnknown:
+		// After a restart the attempt neither runs nor will run, but may have run.
 		return shrequest.CancelDone{}
 	}
 	return shrequest.CancelFailed{}
