shentry: name the backend server of a forwarded long answer

Cause: the description of a streamed answer is sent before the report of the Executor, and was made without its backend server. Ruled out: a trailer, since a broken stream would lose it. Before: attempt and closing records of a forwarded answer over 64 KiB had no backend server. After: they name it. Conclusion: the answer carries the name from where it is received.

--- a/transport/shentry/dispatch.go
+++ b/transport/shentry/dispatch.go
@@ -66,6 +66,8 @@
 	Rest   io.ReadCloser
 	// Length is the length of the whole body, or -1.
 	Length int64
+	// BackendServer is known at the entry VM that owns it only.
+	BackendServer shmodel.BackendServer
 }
 
 // Dispatcher sends requests and classifies what comes back. It never sends a
--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -187,6 +187,7 @@
 	if fault != "" {
 		return resultOf(fault)
 	}
+	in.BackendServer = d.Reservation.BackendServer
 	result := x.complete(in)
 	if _, ok := result.(shrequest.Complete); ok {
 		l.Answered()
--- a/transport/shentry/forward.go
+++ b/transport/shentry/forward.go
@@ -245,7 +245,7 @@
 
 // stream passes a long answer on while it arrives.
 func (h *hosting) stream(ctx context.Context, s *pendingStream) {
-	x := shrequest.Execution{Outcome: shmodel.Answered, Dispatched: true}
+	x := shrequest.Execution{Outcome: shmodel.Answered, Dispatched: true, BackendServer: s.in.BackendServer}
 	n, err := h.send(ctx, x, s.in)
 	s.n = n
 	s.done <- err
