--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -190,7 +190,12 @@
 	if fault != "" {
 		return resultOf(fault)
 	}
-	return x.complete(in)
+	in.BackendServer = d.Reservation.BackendServer
+	result := x.complete(in)
+	if _, ok := result.(shrequest.Complete); ok {
+		l.Answered()
+	}
+	return result
 }
 
 // firstByte returns how long an attempt may wait for its answer. An idempotent
@@ -256,7 +261,8 @@
 		return shrequest.CancelNotRun{}
 	case shwire.CancelRunning:
 		return shrequest.CancelRunning{}
-	case shwire.CancelDone:
+	case shwire.CancelDone, shwire.CancelUnknown:
+		// After a restart the attempt neither runs nor will run, but may have run.
 		return shrequest.CancelDone{}
 	}
 	return shrequest.CancelFailed{}
