--- a/internal/shbench/measure.go
+++ b/internal/shbench/measure.go
@@ -256,7 +256,7 @@
 	claim, copied, durable := newSample(), newSample(), newSample()
 	var number atomic.Uint64
 	repeat(1, probeTime/3, func(int) { claim.time(func() error { return openClaim(proposer, s.VM, number.Add(1)) }) })
-	near, far := d.targets(v)
+	copyTo, first, second := d.targets(v)
 	appendTo := func(address string, sync bool) error {
 		n := number.Add(1)
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -269,12 +269,12 @@
 		}
 		return err
 	}
-	repeat(1, probeTime/3, func(int) { copied.time(func() error { return appendTo(near, false) }) })
+	repeat(1, probeTime/3, func(int) { copied.time(func() error { return appendTo(copyTo, false) }) })
 	repeat(1, probeTime/3, func(int) {
 		durable.time(func() error {
-			second := make(chan error, 1)
-			go func() { second <- appendTo(far, true) }()
-			return errors.Join(appendTo(near, true), <-second)
+			done := make(chan error, 1)
+			go func() { done <- appendTo(second, true) }()
+			return errors.Join(appendTo(first, true), <-done)
 		})
 	})
 	claim.row("claim alone", base)
@@ -282,31 +282,27 @@
 	durable.row("synced account record alone", base)
 }
 
-// targets returns the account VMs that the outbox of a VM prefers: the nearest
-// in another failure domain, and the next nearest in a third one. A VM with the
-// account role syncs the second copy on its own disk.
-func (d *deployment) targets(v *vm) (near, far string) {
-	var first shmodel.Place
+// targets returns the VMs that the outbox of a VM prefers: for a copy the
+// nearest VM in another failure domain, and for synced records the nearest two
+// account VMs in different failure domains, which may include the VM itself.
+func (d *deployment) targets(v *vm) (copied, first, second string) {
+	copied, _ = d.nearest(v, func(x *vm) bool { return x.settings.Place() != v.settings.Place() })
+	disk := func(x *vm) bool { return x.settings.Has(shsettings.Account) }
+	first, place := d.nearest(v, disk)
+	second, _ = d.nearest(v, func(x *vm) bool { return disk(x) && x.settings.Place() != place })
+	return copied, first, second
+}
+
+// nearest returns the peer address and place of the nearest VM that fits.
+func (d *deployment) nearest(v *vm, fits func(*vm) bool) (address string, place shmodel.Place) {
 	shortest := time.Hour
-	for _, p := range v.settings.Peers {
-		place := shmodel.Place{Region: p.Region, FailureDomain: p.FailureDomain}
-		delay := d.delay(v.settings.Place(), place)
-		if has(p, shsettings.Account) && place != v.settings.Place() && delay < shortest {
-			near, first, shortest = p.PeerAddress, place, delay
-		}
-	}
-	if v.settings.Has(shsettings.Account) {
-		return near, v.settings.PeerAddress
-	}
-	shortest = time.Hour
-	for _, p := range v.settings.Peers {
-		place := shmodel.Place{Region: p.Region, FailureDomain: p.FailureDomain}
-		delay := d.delay(v.settings.Place(), place)
-		if has(p, shsettings.Account) && place != first && delay < shortest {
-			far, shortest = p.PeerAddress, delay
+	for _, x := range d.vms {
+		delay := d.delay(v.settings.Place(), x.settings.Place())
+		if fits(x) && delay < shortest {
+			address, place, shortest = x.settings.PeerAddress, x.settings.Place(), delay
 		}
 	}
-	return near, far
+	return address, place
 }
 
 func has(p shsettings.Peer, role shsettings.Role) bool {
