--- a/internal/shbench/deployment.go
+++ b/internal/shbench/deployment.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +36,9 @@
 type vm struct {
 	settings shsettings.Settings
 	process  *exec.Cmd
+	// bytes counts messages to and from peers and announcements, without TCP
+	// and IP headers.
+	bytes atomic.Int64
 }
 
 // backend is one stand-in backend server. A caller that calls it directly does
--- a/internal/shbench/measure.go
+++ b/internal/shbench/measure.go
@@ -342,7 +342,7 @@
 	s := v.settings
 	address := behindRelay(s.CallerAddress)
 	lookup := shwire.PathEntries + "?service=" + string(d.example.idempotent)
-	fmt.Printf("Load at entry VM %s, %d callers:\n\n| what | answered | failed | per s | per core-s of this daemon | CPU of all daemons, cores | resident MB of this daemon |\n|---|---|---|---|---|---|---|\n", s.VM, loadWorkers)
+	fmt.Printf("Load at entry VM %s, %d callers:\n\n| what | answered | failed | per s | per core-s of this daemon | CPU of all daemons, cores | KB/s with peers and backend servers per daemon | resident MB of this daemon |\n|---|---|---|---|---|---|---|---|\n", s.VM, loadWorkers)
 	for _, kind := range []struct {
 		name string
 		call func() error
@@ -358,6 +358,7 @@
 		if err != nil {
 			return err
 		}
+		before := d.bytes()
 		begin := time.Now()
 		repeat(loadWorkers, loadTime, func(int) {
 			taken.time(func() error {
@@ -377,8 +378,9 @@
 			return err
 		}
 		answered := float64(taken.values.TotalCount())
-		fmt.Printf("| %s | %.0f | %d | %.0f | %.0f | %.2f | %d |\n", kind.name, answered, failed.Load(), answered/elapsed,
-			answered/(ownAfter.CPU-own.CPU).Seconds(), (allAfter-all).Seconds()/elapsed, ownAfter.Resident>>20)
+		fmt.Printf("| %s | %.0f | %d | %.0f | %.0f | %.2f | %.1f | %d |\n", kind.name, answered, failed.Load(), answered/elapsed,
+			answered/(ownAfter.CPU-own.CPU).Seconds(), (allAfter-all).Seconds()/elapsed,
+			float64(d.bytes()-before)/elapsed/1000/float64(len(d.vms)), ownAfter.Resident>>20)
 		if taken.first != nil {
 			fmt.Printf("<!-- first failure: %v -->\n", taken.first)
 		}
@@ -386,6 +388,15 @@
 	return nil
 }
 
+// bytes returns what all daemons have exchanged.
+func (d *deployment) bytes() int64 {
+	var sum int64
+	for _, v := range d.vms {
+		sum += v.bytes.Load()
+	}
+	return sum
+}
+
 // usage returns what a daemon has used, and the CPU time of all daemons.
 func (d *deployment) usage(v *vm) (own shusage.Process, all time.Duration, err error) {
 	for _, x := range d.vms {
--- a/internal/shbench/relay.go
+++ b/internal/shbench/relay.go
@@ -39,9 +39,15 @@
 	return net.JoinHostPort(host, strconv.Itoa(n+relayedPorts))
 }
 
-// source finds out where a connection comes from. It returns what it has read
-// and the one-way delay.
-type source func(net.Conn) (head []byte, delay time.Duration)
+// route is the one-way delay of a connection and the daemons at its ends, whose
+// bytes are counted.
+type route struct {
+	delay time.Duration
+	ends  []*vm
+}
+
+// source finds out where a connection comes from. It returns what it has read.
+type source func(net.Conn) (head []byte, r route)
 
 // relay passes connections to address on to the process behind it, with a
 // delay in both directions. It ends with the listener.
@@ -69,9 +75,9 @@
 		_ = client.Close()
 		return
 	}
-	head, delay := from(client)
-	go pump(client, server, delay, time.Time{})
-	pump(server, io.MultiReader(bytes.NewReader(head), client), delay, accepted.Add(handshakes*delay))
+	head, r := from(client)
+	go pump(client, server, r, time.Time{})
+	pump(server, io.MultiReader(bytes.NewReader(head), client), r, accepted.Add(handshakes*r.delay))
 }
 
 // piece is data that is due at a time. Nil data ends the connection.
@@ -81,13 +87,16 @@
 }
 
 // pump copies until the source ends; nothing arrives before first.
-func pump(target net.Conn, from io.Reader, delay time.Duration, first time.Time) {
+func pump(target net.Conn, from io.Reader, r route, first time.Time) {
 	queue := make(chan piece, relayQueue)
 	go deliver(target, queue)
 	buffer := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(buffer)
-		due := time.Now().Add(delay)
+		due := time.Now().Add(r.delay)
+		for _, v := range r.ends {
+			v.bytes.Add(int64(n))
+		}
 		if due.Before(first) {
 			due = first
 		}
@@ -119,22 +128,22 @@
 
 // fixed is the source of connections that all have one delay.
 func fixed(delay time.Duration) source {
-	return func(net.Conn) ([]byte, time.Duration) { return nil, delay }
+	return func(net.Conn) ([]byte, route) { return nil, route{delay: delay} }
 }
 
 // peerSource reads up to the ping in which a jsonrpc2 client states its address.
 func (d *deployment) peerSource(to *vm) source {
-	return func(c net.Conn) ([]byte, time.Duration) {
+	return func(c net.Conn) ([]byte, route) {
 		var head []byte
 		for {
 			frame := make([]byte, 4)
 			if _, err := io.ReadFull(c, frame); err != nil {
-				return head, 0
+				return head, route{}
 			}
 			size := binary.BigEndian.Uint32(frame)
 			frame = append(frame, make([]byte, size)...)
 			if _, err := io.ReadFull(c, frame[4:]); err != nil {
-				return head, 0
+				return head, route{}
 			}
 			head = append(head, frame...)
 			var m struct {
@@ -144,9 +153,9 @@
 			if json.Unmarshal(frame[4:], &m) == nil && m.Method == "peer.ping" {
 				from := d.byAddress[m.Params.Address]
 				if from == nil || from == to {
-					return head, 0
+					return head, route{}
 				}
-				return head, d.delay(from.settings.Place(), to.settings.Place())
+				return head, route{d.delay(from.settings.Place(), to.settings.Place()), []*vm{from, to}}
 			}
 		}
 	}
@@ -158,20 +167,20 @@
 // domain is not known; it is taken for another one. Backend servers announce to
 // an owner in their own failure domain.
 func (d *deployment) serverSource(to *vm) source {
-	return func(c net.Conn) ([]byte, time.Duration) {
+	return func(c net.Conn) ([]byte, route) {
 		head, err := readHead(c)
 		x := forwardHeader.FindSubmatch(head)
 		if err != nil || x == nil {
-			return head, 0
+			return head, route{ends: []*vm{to}}
 		}
 		var f struct {
 			From shmodel.Region `json:"from"`
 		}
 		data, _ := base64.StdEncoding.DecodeString(string(x[1]))
 		if json.Unmarshal(data, &f) != nil {
-			return head, 0
+			return head, route{}
 		}
-		return head, d.delay(shmodel.Place{Region: f.From}, to.settings.Place())
+		return head, route{delay: d.delay(shmodel.Place{Region: f.From}, to.settings.Place())}
 	}
 }
 
