--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -8,7 +8,7 @@
 echo "commit $(git rev-parse --short HEAD), $(nproc) cores, load average $(cut -d ' ' -f 1 /proc/loadavg)"
 
 if [ "${1:-}" = slopes ]; then
-  for package in coordination/shdirectory coordination/shcontrol transport/shentry \
+  for package in coordination/shdirectory coordination/shcontrol transport/shpeer transport/shentry \
     transport/shreplica transport/shstore transport/shaccount; do
     timeout 120 go test -timeout 110s -run '^$' -bench . -benchtime 300ms "./$package"
   done
