--- a/coordination/shcontrol/bench_test.go
+++ b/coordination/shcontrol/bench_test.go
@@ -307,3 +307,28 @@
 		ask(i % len(held))
 	}
 }
+
+// BenchmarkSnapshot measures the JSON form of a state with answered claims.
+// While it is made, the store handles no messages.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 50_000} {
+		b.Run(fmt.Sprintf("claims=%d", n), func(b *testing.B) {
+			s := new(shcontrol.State)
+			for i := range n {
+				c := claim(i)
+				s.Apply(benchTime, c)
+				s.Apply(benchTime, shcontrol.CloseClaim{
+					Key: c.Key, RequestID: c.RequestID, Attempt: 1, Outcome: shmodel.Answered,
+					Answer: shcontrol.Answer{Status: 200, Body: make([]byte, 256)},
+				})
+			}
+			size := 0
+			for b.Loop() {
+				data, err := s.Snapshot()
+				assert.NilError(b, err)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size)/float64(n), "B/claim")
+		})
+	}
+}
