--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -16,7 +16,7 @@
 : > "$data/log/journal.jsonl"
 
 go build -o bin/ ./cmd/...
-go test -c -o bin/faults.test ./transport/shdaemon
+go test -tags script -c -o bin/faults.test ./transport/shdaemon
 export SEQUOIAHOLLOW_TOKEN_FILE="$data/operator-token"
 export SEQUOIAHOLLOW_OPERATOR=127.12.2.1:7403
 export SEQUOIAHOLLOW_ENTRY=127.12.2.1:7400
--- a/state/shconfig/match_test.go
+++ b/state/shconfig/match_test.go
@@ -100,9 +100,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		pattern := "/" + segment.Draw(t, "segment") + ending.Draw(t, "ending")
 		path := "/" + strings.Join(rapid.SliceOfN(requested, 0, 3).Draw(t, "path"), "/")
-		path += rapid.SampledFrom([]string{"", "/"}).Draw(t, "slash")
-		if strings.Contains(path, "//") {
-			t.Skip("net/http redirects to the clean path")
+		// net/http redirects a path with two slashes to the clean path.
+		if rapid.Bool().Draw(t, "slash") && path != "/" {
+			path += "/"
 		}
 		mux := http.NewServeMux()
 		mux.HandleFunc(pattern, func(http.ResponseWriter, *http.Request) {})
--- a/transport/shdaemon/script_test.go
+++ b/transport/shdaemon/script_test.go
@@ -1,3 +1,5 @@
+//go:build script
+
 package shdaemon
 
 import (
@@ -22,9 +24,7 @@
 // other in processes of the real program.
 func TestDeploymentOfScript(t *testing.T) {
 	folder := os.Getenv("SEQUOIAHOLLOW_FAULTS")
-	if folder == "" {
-		t.Skip("scripts/faults.sh runs this test")
-	}
+	assert.Assert(t, folder != "", "scripts/faults.sh runs this test")
 	d := &deployment{t: t, folder: folder, vms: map[shmodel.VM]*vm{}, external: true}
 	files, err := filepath.Glob(exampleFolder + "/settings/*.json")
 	assert.NilError(t, err)
