Take an interrupted run of the stand-in for done

A caller of an idempotent request was then told not-run. Before: TestAnnouncements, on a busy machine, had two such requests. After: the answer is done, and the outcome unknown.

--- a/transport/shbackend/server.go
+++ b/transport/shbackend/server.go
@@ -201,7 +201,7 @@
 	}
 	s.journal("started", r, id)
 	cancelled := s.run(ctx, r, id)
-	s.finish(id, cancelled)
+	s.finish(id)
 	if cancelled {
 		s.journal("cancelled", r, id)
 		panic(http.ErrAbortHandler)
@@ -274,7 +274,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (s *Server) finish(id attemptID, cancelled bool) {
+// finish ends a run. One that was interrupted has run in part, so it is done and
+// not not-run.
+func (s *Server) finish(id attemptID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
@@ -282,9 +284,6 @@
 	a.cancel()
 	a.at = time.Now()
 	a.status = shwire.CancelDone
-	if cancelled {
-		a.status = shwire.CancelNotRun
-	}
 }
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, id attemptID, body []byte) {
