Wait for the strike before a solo run

Cause: on a busy machine the report of a crash was given up after 2 s, and the solo run that followed found no strike and ran like any other request; a resend through another entry VM crashed a third backend server. Before: the new test fails. After: the report survives an election, and a solo run without strike asks again for half a second.

--- a/coordination/shrequest/executor.go
+++ b/coordination/shrequest/executor.go
@@ -26,6 +26,11 @@
 	verdictWait = 2500 * time.Millisecond
 )
 
+// maxUnstruck is how often OpenSolo is repeated for a digest without a strike.
+// The strike of the crash that led to the solo run may be on its way; a digest
+// that was cleared meanwhile runs after half a second.
+const maxUnstruck = 10
+
 // maxCancels bounds the cancellations without an answer; the backend server is
 // taken to be unreachable afterwards.
 const maxCancels = 3
@@ -71,9 +76,11 @@
 	claimOpen bool
 	soloOpen  bool
 	// result is what Report carries once the claim is closed.
-	result   Execution
-	close    shcontrol.CloseClaim
-	cancels  int
+	result  Execution
+	close   shcontrol.CloseClaim
+	cancels int
+	// unstruck counts answers to OpenSolo that know no strike.
+	unstruck int
 	pause    time.Duration
 	reported bool
 }
@@ -232,6 +239,9 @@
 	case shcontrol.SuspectGranted:
 		return x.reservedSlot(now)
 	case shcontrol.SuspectNone:
+		if x.unstruck++; x.unstruck < maxUnstruck {
+			return []Effect{x.startTimer(askAgain)}
+		}
 		x.soloOpen = false
 		return x.reservedSlot(now)
 	case shcontrol.SuspectQuarantined:
--- a/coordination/shrequest/machine_test.go
+++ b/coordination/shrequest/machine_test.go
@@ -337,3 +337,16 @@
 	send := has[Dispatch](t, x.Apply(at(10*ms), ControlResult{Command: open, Result: granted}))
 	assert.Assert(t, !send.Deadline.Before(send.NotAfter.Add(clockError)))
 }
+
+// Guards against a solo run that starts before the strike of the crash that led
+// to it is committed, so that another entry VM runs the request at the same time.
+func TestSoloWaitsForStrike(t *testing.T) {
+	x, _ := NewExecutor(at(0), ExecutorOptions{Request: testRequest(shmodel.Idempotent), Attempt: 2, VM: "v", Class: shslot.Solo})
+	open := has[AskControl](t, x.Apply(at(0), slot)).Command
+	none := ControlResult{Command: open, Result: shcontrol.SuspectResult{Statuses: []shcontrol.SuspectStatus{shcontrol.SuspectNone}}}
+	out := x.Apply(at(10*ms), none)
+	hasNot[Dispatch](t, out)
+	open = has[AskControl](t, x.Apply(at(60*ms), TimerFired{ID: has[StartTimer](t, out).ID})).Command
+	solo := ControlResult{Command: open, Result: shcontrol.SuspectResult{Statuses: []shcontrol.SuspectStatus{shcontrol.SuspectGranted}}}
+	has[Dispatch](t, x.Apply(at(70*ms), solo))
+}
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -36,9 +36,10 @@
 	// the configuration or the directory.
 	refreshInterval = 200 * time.Millisecond
 	callTimeout     = 500 * time.Millisecond
-	// crashReportTimeout bounds the report of a crash. The requests that were
-	// running wait for it.
-	crashReportTimeout = 2 * time.Second
+	// crashReportTimeout bounds the report of a crash. It survives an election.
+	// The requests that were running wait for it, up to the time that
+	// shrequest.Executor waits for a verdict.
+	crashReportTimeout = 10 * time.Second
 	initialReserve     = 0.2
 )
 
