--- a/transport/shentry/caller_test.go
+++ b/transport/shentry/caller_test.go
@@ -95,6 +95,7 @@
 		{"timeout zero", testService, "/x", "", timeout("0"), 400, "malformed timeout"},
 		{"timeout negative", testService, "/x", "", timeout("-5"), 400, "malformed timeout"},
 		{"timeout no number", testService, "/x", "", timeout("5s"), 400, "malformed timeout"},
+		{"no backend server", "empty", "/x", "", nil, 503, "no-capacity"},
 		{"timeout shorter than a run", testService, "/x", "", timeout("1"), 503, "no-capacity"},
 		{"longest body", testService, "/x", strings.Repeat("x", 1000), nil, 200, ""},
 		{"body too large", testService, "/x", strings.Repeat("x", 1001), nil, 413, "body too large"},
--- a/transport/shentry/deployment_test.go
+++ b/transport/shentry/deployment_test.go
@@ -63,6 +63,7 @@
 		Services: map[shmodel.Service]shconfig.Service{
 			testService:  {Default: shmodel.Idempotent, DefaultTimeoutMS: 3000, MaxBodyBytes: 1000, Hosts: []string{"samples.test"}},
 			testOnceOnly: {Default: shmodel.OnceOnly, DefaultTimeoutMS: 3000, MaxBodyBytes: 1000},
+			"empty":      {Default: shmodel.Idempotent, DefaultTimeoutMS: 3000},
 		},
 		Limits: shconfig.Limits{LookupCacheMS: 1500, RetryShare: 1, ClockErrorMS: 10},
 	}
