shentry: do not state an empty body for HEAD

Cause: the length of the answer was taken from its body, which HEAD has none of. Ruled out: passing the length of the backend server on, since recorded and forwarded answers do not keep it. Before: Content-Length: 0. After: no Content-Length. Conclusion: HEAD states no length.

--- a/transport/shentry/caller_test.go
+++ b/transport/shentry/caller_test.go
@@ -114,6 +114,11 @@
 			d.checkAccount(t, a, "refused:not-run:"+c.reason)
 		})
 	}
+	t.Run("HEAD does not state an empty body", func(t *testing.T) {
+		a := v.call(t, testService, http.MethodHead, "/x", "")
+		assert.Equal(t, a.outcome(), "answered")
+		assert.Assert(t, a.header.Get("Content-Length") != "0")
+	})
 	t.Run("body cut off", func(t *testing.T) {
 		c, err := net.Dial("tcp", v.heartbeat.CallerAddress)
 		assert.NilError(t, err)
--- a/transport/shentry/receiver.go
+++ b/transport/shentry/receiver.go
@@ -240,6 +240,9 @@
 	}
 	c.status = a.Answer.Status
 	in := Incoming{Status: a.Answer.Status, Header: a.Answer.Header, Body: a.Answer.Body, Length: int64(len(a.Answer.Body))}
+	if c.request.Method == http.MethodHead {
+		in.Length = -1
+	}
 	n, err := copyAnswer(c.writer, in, c.request.ID, a.Outcome, nil)
 	c.answerBytes = n
 	if err != nil {
