Ask a VM again that had no slot for a moment

Cause: a VM that refused a forward for want of a slot stayed excluded for the life of the request. If it was the only owner of the service, the request waited until its deadline although slots were free, and a planned stop waited with it.

Ruled out: lost slot reports; the leaving VM had current ones and served other requests of the same service in the meantime.

TestTriedVMIsAskedAgain fails without the change.

Conclusion: VMs count as tried until the next pause.

--- a/coordination/shrequest/machine_test.go
+++ b/coordination/shrequest/machine_test.go
@@ -223,6 +223,18 @@
 	has[RefuseCaller](t, out)
 }
 
+// Guards against a request that waits until its deadline although the only VM
+// that could run it has free slots again.
+func TestTriedVMIsAskedAgain(t *testing.T) {
+	r := attempted(t, shmodel.Idempotent)
+	refused := Execution{Outcome: shmodel.NotRun, Reason: ReasonNoCapacity}
+	choose := has[Choose](t, r.Apply(at(ms), executedAs(1, refused)))
+	assert.DeepEqual(t, choose.Tried, []shmodel.VM{"w"})
+	pause := has[StartTimer](t, r.Apply(at(ms), ChoiceMade{ID: choose.ID, Choice: shrouting.Wait{Expected: 20 * ms}}))
+	choose = has[Choose](t, r.Apply(at(21*ms), TimerFired{ID: pause.ID}))
+	assert.Equal(t, len(choose.Tried), 0)
+}
+
 // Guards against a gap in the numbers of the records after an attempt that was
 // not sent, which a verification takes for a lost record.
 func TestEveryAttemptHasRecord(t *testing.T) {
--- a/coordination/shrequest/receiver.go
+++ b/coordination/shrequest/receiver.go
@@ -204,9 +204,12 @@
 	return []Effect{WriteRecord{Record: r.record(shrecord.Opened), Await: true, Durable: r.Request.onceOnly()}}
 }
 
-// wait asks for another choice after a pause. A ChoiceMade may come earlier.
+// wait asks for another choice after a pause. A ChoiceMade may come earlier. VMs
+// that were tried may be asked again then, since the only owner of a service may
+// have had no slot for a moment.
 func (r *Receiver) wait(pause time.Duration) []Effect {
 	r.stage = waiting
+	r.tried = nil
 	return []Effect{r.startTimer(&r.stageID, pause)}
 }
 
