--- a/transport/shdaemon/deployment_test.go
+++ b/transport/shdaemon/deployment_test.go
@@ -200,8 +200,8 @@
 			_ = v.process.Process.Kill()
 			<-v.ended
 		}
-		// CI keeps no folder of a failed test; a developer may name one.
-		if d.t.Failed() && os.Getenv("SHDAEMON_TEST_LOGS") != "" {
+		// The folder of a test is removed; a developer may name another one.
+		if os.Getenv("SHDAEMON_TEST_LOGS") != "" {
 			data, _ := os.ReadFile(d.logOf(v))
 			_ = os.WriteFile(filepath.Join(os.Getenv("SHDAEMON_TEST_LOGS"), strings.ReplaceAll(d.t.Name(), "/", "-")+"-"+string(v.settings.VM)+".log"), data, 0o600)
 		}
