--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -96,7 +96,10 @@
 requests payment-2
 
 say 'configuration in force at each daemon'
+sleep 1
 "$sequoiahollow" config status
+say "accepted edits"
+"$sequoiahollow" config history | cut -c1-160 | head -3
 say 'service-level burn'
 "$sequoiahollow" report burn
 
--- a/transport/shbackend/server.go
+++ b/transport/shbackend/server.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +25,9 @@
 )
 
 // HeaderFault asks the stand-in for a fault: FaultCrash, FaultSilent,
-// FaultBreak, FaultSlow or FaultWrongID.
+// FaultBreak, FaultSlow, FaultWrongID or FaultShed. In a list with commas each
+// value is for one attempt, and the last one for all further attempts; an empty
+// value is no fault.
 const HeaderFault = "Stand-In-Fault"
 
 // Values of HeaderFault.
@@ -39,6 +42,8 @@
 	FaultSlow = "slow"
 	// FaultWrongID answers with the request ID of another request.
 	FaultWrongID = "wrong-id"
+	// FaultShed refuses the request as if all slots were taken.
+	FaultShed = "shed"
 )
 
 const (
@@ -83,8 +88,8 @@
 	ReportLag time.Duration
 }
 
-// JournalLine is one event of a run: "started", "finished", "shed", "expired"
-// or "cancelled".
+// JournalLine is one event of a run: "started", "finished" or "cancelled", or why
+// a request was not run.
 type JournalLine struct {
 	Event         string                `json:"event"`
 	At            time.Time             `json:"at"`
@@ -97,6 +102,9 @@
 	InFlight      int                   `json:"inFlight"`
 }
 
+// repeated is the event of an attempt that arrives again.
+const repeated = "repeated"
+
 type attemptID struct {
 	request shmodel.RequestID
 	number  uint32
@@ -133,10 +141,7 @@
 	}
 	c.Address = listener.Addr().String()
 	s := &Server{config: c, started: time.Now(), listener: listener, attempts: map[attemptID]*attemptState{}}
-	mux := http.NewServeMux()
-	mux.HandleFunc("DELETE "+shwire.PathRequests+"/{request}/{attempt}", s.handleCancel)
-	mux.HandleFunc("/", s.handleRequest)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	s.server = &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = s.server.Serve(listener) }()
 	s.announce.start(s)
 	return s, nil
@@ -159,6 +164,18 @@
 
 func (s *Server) cold() bool { return time.Since(s.started) < s.config.ColdFor }
 
+// handle uses no http.ServeMux, which redirects requests whose path is not clean
+// without the request ID.
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	attempt, ok := strings.CutPrefix(r.URL.Path, shwire.PathRequests+"/")
+	request, number, whole := strings.Cut(attempt, "/")
+	if r.Method == http.MethodDelete && ok && whole && r.Header.Get(shwire.HeaderAttempt) == "" {
+		s.handleCancel(w, r, request, number)
+		return
+	}
+	s.handleRequest(w, r)
+}
+
 func (s *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
 	id, err := attemptOf(r.Header.Get(shwire.HeaderRequestID), r.Header.Get(shwire.HeaderAttempt))
 	if err != nil {
@@ -171,6 +188,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	ctx, refused := s.admit(r, id)
+	if refused == repeated {
+		// The first arrival runs or ran, so that not-run would be wrong.
+		s.journal(refused, r, id)
+		panic(http.ErrAbortHandler)
+	}
 	if refused != "" {
 		s.journal(refused, r, id)
 		w.Header().Set(shwire.HeaderOutcome, string(shmodel.NotRun))
@@ -178,14 +200,14 @@
 		return
 	}
 	s.journal("started", r, id)
-	cancelled := s.run(ctx, r)
+	cancelled := s.run(ctx, r, id)
 	s.finish(id, cancelled)
 	if cancelled {
 		s.journal("cancelled", r, id)
 		panic(http.ErrAbortHandler)
 	}
 	s.journal("finished", r, id)
-	s.answer(w, r, body)
+	s.answer(w, r, id, body)
 }
 
 // admit takes a slot. The returned reason says why the request is not run.
@@ -199,10 +221,12 @@
 	if s.otherIncarnation(r) {
 		return nil, "other incarnation"
 	}
-	if a := s.attempts[id]; a != nil {
+	if a := s.attempts[id]; a != nil && a.status != shwire.CancelNotRun {
+		return nil, repeated
+	} else if a != nil {
 		return nil, "cancelled before start"
 	}
-	if s.inFlight >= s.config.Slots {
+	if s.inFlight >= s.config.Slots || faultOf(r, id) == FaultShed {
 		return nil, "shed"
 	}
 	ctx, cancel := context.WithCancel(r.Context())
@@ -221,12 +245,12 @@
 }
 
 // run reports whether the request was cancelled before its end.
-func (s *Server) run(ctx context.Context, r *http.Request) bool {
+func (s *Server) run(ctx context.Context, r *http.Request, id attemptID) bool {
 	d := s.config.ServiceTime
 	if s.cold() && s.config.ColdFactor > 1 {
 		d = time.Duration(float64(d) * s.config.ColdFactor)
 	}
-	switch r.Header.Get(HeaderFault) {
+	switch faultOf(r, id) {
 	case FaultCrash:
 		s.crash()
 	case FaultSlow:
@@ -263,12 +287,12 @@
 	}
 }
 
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, body []byte) {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, id attemptID, body []byte) {
 	content := fmt.Appendf(nil, "%s ran %s %s, body %d bytes\n", s.config.BackendServer, r.Method, r.URL.Path, len(body))
 	if size, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil && size > 0 && size <= maxBody {
 		content = make([]byte, size)
 	}
-	switch r.Header.Get(HeaderFault) {
+	switch faultOf(r, id) {
 	case FaultSilent:
 		<-r.Context().Done()
 		return
@@ -284,8 +308,8 @@
 	_, _ = w.Write(content)
 }
 
-func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request) {
-	id, err := attemptOf(r.PathValue("request"), r.PathValue("attempt"))
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request, request, number string) {
+	id, err := attemptOf(request, number)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -353,6 +377,12 @@
 	return id, nil
 }
 
+// faultOf returns the fault that is asked for an attempt.
+func faultOf(r *http.Request, id attemptID) string {
+	faults := strings.Split(r.Header.Get(HeaderFault), ",")
+	return faults[min(max(int(id.number), 1), len(faults))-1]
+}
+
 func deadlineOf(r *http.Request) (time.Time, bool) {
 	ms, err := strconv.ParseInt(r.Header.Get(shwire.HeaderDeadline), 10, 64)
 	return time.UnixMilli(ms), err == nil
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strconv"
 	"sync/atomic"
@@ -51,6 +52,7 @@
 	log         *slog.Logger
 	incarnation uint64
 	leaving     atomic.Bool
+	lock        *os.File
 
 	traffic  *shpeer.Traffic
 	client   *shpeer.Client
@@ -62,7 +64,7 @@
 	proposer *shview.Proposer
 	syncer   *shview.Syncer
 	entry    *shentry.Entry
-	burn     burnRecorder
+	burn     *burnRecorder
 	http     httpServers
 }
 
@@ -102,6 +104,13 @@
 // open makes the parts without serving.
 func (d *daemon) open() error {
 	s := d.settings
+	if s.DataFolder != "" {
+		lock, err := lockFolder(s.DataFolder)
+		if err != nil {
+			return err
+		}
+		d.lock = lock
+	}
 	d.traffic = new(shpeer.Traffic)
 	config := shpeer.Config{Self: s.PeerAddress, Traffic: d.traffic, Logger: d.log}
 	d.client = shpeer.NewClient(config)
@@ -148,6 +157,7 @@
 
 func (d *daemon) openEntry() {
 	s := d.settings
+	d.burn = newBurnRecorder(s)
 	address := peerAddresses(s, func() []shdirectory.Heartbeat { return d.syncer.View().Entries })
 	d.outbox = shaccount.NewOutbox(replicator{client: d.client, address: address}, shaccount.OutboxOptions{
 		// The own disk counts when too few others can be reached, so that a region
@@ -188,8 +198,9 @@
 	go d.entry.Links.Run(ctx)
 	go every(ctx, reportInterval, func() { d.reportSlots(ctx) })
 	go d.settleOwed(ctx)
+	go d.adoptRecords(ctx)
 	d.http.init()
-	operator, err := d.operatorHandler()
+	operator, err := d.operatorHandler(ctx)
 	if err != nil {
 		return err
 	}
@@ -212,6 +223,9 @@
 	if d.store != nil {
 		errs = append(errs, d.store.Close())
 	}
+	if d.lock != nil {
+		errs = append(errs, d.lock.Close())
+	}
 	return errors.Join(errs...)
 }
 
--- a/transport/shdaemon/operations.go
+++ b/transport/shdaemon/operations.go
@@ -30,13 +30,13 @@
 // operations implements shoperator.Backend.
 type operations struct{ *daemon }
 
-func (d *daemon) operatorHandler() (http.Handler, error) {
+func (d *daemon) operatorHandler(ctx context.Context) (http.Handler, error) {
 	token, err := shsettings.ReadToken(d.settings.OperatorTokenFile)
 	if err != nil {
 		return nil, err
 	}
 	set := metrics.NewSet()
-	d.registerMetrics(set)
+	d.registerMetrics(ctx, set)
 	s := &shoperator.Server{Backend: operations{d}, Token: token, Metrics: set, Healthy: d.healthy, Logger: d.log}
 	return s.Handler(), nil
 }
@@ -80,16 +80,15 @@
 
 // History implements shoperator.Backend.
 func (o operations) History(ctx context.Context, limit int) ([]shoperator.Edit, error) {
-	r, err := o.proposer.Read(ctx, shwire.ReadRequest{History: true})
+	r, err := o.proposer.Read(ctx, shwire.ReadRequest{History: limit})
 	if err != nil {
 		return nil, unavailable("read history", err)
 	}
-	edits := make([]shoperator.Edit, 0, limit)
-	for _, x := range slices.Backward(r.History) {
-		if len(edits) == limit {
-			break
-		}
-		edits = append(edits, shoperator.Edit{Revision: x.Number, EditID: x.EditID, Author: x.Author, At: x.At})
+	edits := make([]shoperator.Edit, 0, len(r.History))
+	for _, x := range r.History {
+		edits = append(edits, shoperator.Edit{
+			Revision: x.Number, EditID: x.EditID, Author: x.Author, At: x.At, Changes: x.Changes,
+		})
 	}
 	return edits, nil
 }
@@ -233,8 +232,3 @@
 	_, err := shpeer.Call[shaccount.ReadResponse](ctx, o.client, address, shwire.MethodAccountRead, shaccount.ReadRequest{Limit: 1})
 	return err == nil
 }
-
-// BurnReport implements shoperator.Backend.
-func (o operations) BurnReport(context.Context) (shoperator.BurnReport, error) {
-	return shoperator.BurnReport{At: time.Now()}, nil
-}
--- a/transport/shentry/forward.go
+++ b/transport/shentry/forward.go
@@ -189,10 +189,15 @@
 	case f.From != h.entry.Place.Region:
 		class = shslot.Remote
 	}
+	if class == shslot.Remote && !h.entry.Links.WaitFree(ctx, f.From, expectedAnswerBytes) {
+		// Without a grant the answer could not be sent.
+		h.answer(ctx, shrequest.Execution{Outcome: shmodel.NotRun, Reason: shrequest.ReasonNoCapacity})
+		return
+	}
 	over := make(chan struct{})
 	defer close(over)
 	x := &execution{
-		entry: h.entry, request: f.Request, payload: p,
+		entry: h.entry, request: f.Request, payload: p, forwarded: true,
 		report: func(r shrequest.Execution) { h.result <- r },
 		stream: func(in Incoming) (int64, error) { return h.offer(over, in) },
 	}
@@ -245,7 +250,7 @@
 
 // stream passes a long answer on while it arrives.
 func (h *hosting) stream(ctx context.Context, s *pendingStream) {
-	x := shrequest.Execution{Outcome: shmodel.Answered, Dispatched: true}
+	x := shrequest.Execution{Outcome: shmodel.Answered, Dispatched: true, BackendServer: s.in.BackendServer}
 	n, err := h.send(ctx, x, s.in)
 	s.n = n
 	s.done <- err
