--- a/protocol/shwire/peer.go
+++ b/protocol/shwire/peer.go
@@ -13,16 +13,27 @@
 
 // Methods of jsonrpc2 between processes.
 const (
-	MethodPropose       = "control.propose"
-	MethodRead          = "control.read"
-	MethodSync          = "control.sync"
-	MethodNews          = "control.news"
-	MethodCredit        = "slot.credit"
-	MethodSlots         = "slot.report"
+	// MethodPropose takes a ProposeRequest to the leader.
+	MethodPropose = "control.propose"
+	// MethodRead takes a ReadRequest to the leader.
+	MethodRead = "control.read"
+	// MethodSync takes the SyncRequest of an entry VM to a control VM.
+	MethodSync = "control.sync"
+	// MethodNews takes a NewsRequest from one control VM to another and is
+	// answered with a shdirectory.Delta.
+	MethodNews = "control.news"
+	// MethodCredit takes a CreditRequest to the owner of slots.
+	MethodCredit = "slot.credit"
+	// MethodSlots takes a SlotReport to an entry VM of the region.
+	MethodSlots = "slot.report"
+	// MethodAccountAppend takes a batch of account records to an account VM.
 	MethodAccountAppend = "account.append"
-	MethodAccountRead   = "account.read"
-	MethodRelease       = "account.release"
-	MethodBurn          = "burn.read"
+	// MethodAccountRead reads a page of account records.
+	MethodAccountRead = "account.read"
+	// MethodRelease tells an account VM which batches need no copy any more.
+	MethodRelease = "account.release"
+	// MethodBurn reads the service-level counts of a daemon.
+	MethodBurn = "burn.read"
 )
 
 // ProposeRequest carries a Command in the form of shcontrol.EncodeCommand. It
@@ -37,7 +48,8 @@
 	Result json.RawMessage `json:"result"`
 }
 
-// ReadRequest asks the leader for a quorum-confirmed read.
+// ReadRequest asks the leader for a quorum-confirmed read. The configuration is
+// always part of the answer; History adds past edits and the link grants.
 type ReadRequest struct {
 	History bool `json:"history,omitempty"`
 	Ranges  bool `json:"ranges,omitempty"`
--- a/protocol/shwire/wire.go
+++ b/protocol/shwire/wire.go
@@ -1,6 +1,13 @@
 // Package shwire is the messages of the system: HTTP headers and bodies
-// towards callers, backend servers and operators, and jsonrpc2 methods between
-// processes.
+// towards callers and backend servers, and jsonrpc2 methods between processes.
+//
+// Every body is JSON. Times and durations in HTTP headers and bodies are in
+// milliseconds; durations in jsonrpc2 messages are in nanoseconds, the JSON form
+// of time.Duration.
+//
+// The Header constants name HTTP headers, the Path constants HTTP paths and the
+// Method constants jsonrpc2 methods. The types are bodies; those of the account
+// methods are in shaccount, and the answer to MethodBurn is in shburn.
 package shwire
 
 import (
@@ -27,7 +34,7 @@
 	// HeaderIncarnation carries the incarnation of the backend server that an
 	// attempt is meant for, in requests and cancellations. A backend server of
 	// another incarnation has forgotten earlier runs and cancellations: it must
-	// refuse the request as not run, and answer done to the cancellation.
+	// refuse the request as not run, and answer unknown to the cancellation.
 	HeaderIncarnation = "Sequoiahollow-Incarnation"
 	// HeaderReplayed is "true" on a recorded answer.
 	HeaderReplayed = "Sequoiahollow-Replayed"
@@ -35,15 +42,21 @@
 
 // Paths of the HTTP interfaces.
 const (
-	PathEntries       = "/v1/entries"
+	// PathEntries is the lookup of callers: GET PathEntries?service=NAME, answered
+	// with Entries.
+	PathEntries = "/v1/entries"
+	// PathAnnouncements takes a POST of an Announcement from a backend server.
 	PathAnnouncements = "/v1/announcements"
-	PathForward       = "/v1/forward"
+	// PathForward is the prefix of the path of a request that another entry VM
+	// received.
+	PathForward = "/v1/forward"
 	// PathRequests is the cancellation interface of backend servers:
 	// DELETE PathRequests/{requestID}/{attempt}.
 	PathRequests = "/v1/requests"
 )
 
-// Entries is the answer to a look-up: entry VMs in the order of preference.
+// Entries is the answer to a lookup: entry VMs in the order of preference. The
+// caller may use it for CacheForMS milliseconds.
 type Entries struct {
 	Service    shmodel.Service `json:"service"`
 	Revision   uint64          `json:"revision"`
@@ -51,7 +64,7 @@
 	Entries    []EntryAddress  `json:"entries"`
 }
 
-// EntryAddress is one entry VM in a look-up answer. Address is IP:port.
+// EntryAddress is one entry VM in a lookup answer. Address is IP:port.
 type EntryAddress struct {
 	VM            shmodel.VM            `json:"vm"`
 	Region        shmodel.Region        `json:"region"`
--- a/state/shburn/recorder.go
+++ b/state/shburn/recorder.go
@@ -25,12 +25,19 @@
 
 // Causes.
 const (
+	// Good is the cause of a good request.
 	Good Cause = iota
+	// Refused says that the request was not run, other than for LinkCap.
 	Refused
+	// Slow says that the answer came later than the service level permits.
 	Slow
+	// Unknown says that the caller was not told whether the request ran.
 	Unknown
+	// BackendFailure says that the answer had a status of 500 or above.
 	BackendFailure
+	// LinkCap says that the cap of a link left no room for the request.
 	LinkCap
+	// causes is the number of causes.
 	causes
 )
 
--- a/state/shburn/report.go
+++ b/state/shburn/report.go
@@ -17,7 +17,9 @@
 // Burn rates at which a pair of windows is alerting. At 14.4 an hour uses 2% of
 // the budget of 30 days, at 6 six hours use 5%.
 const (
+	// FastBurnLimit applies to the windows of 5 min and 1 h.
 	FastBurnLimit = 14.4
+	// SlowBurnLimit applies to the windows of 30 min and 6 h.
 	SlowBurnLimit = 6
 )
 
--- a/state/shconfig/config.go
+++ b/state/shconfig/config.go
@@ -17,11 +17,15 @@
 
 // Objectives.
 const (
+	// Headroom keeps a request in its region while the queue fits the deadline.
 	Headroom Objective = "headroom"
-	Latency  Objective = "latency"
+	// Latency lets a request leave its region when the expected wait exceeds the
+	// round trip to another one.
+	Latency Objective = "latency"
 )
 
-// Config is one whole configuration. The zero Config steers nothing.
+// Config is one whole configuration. The zero Config steers nothing. The keys of
+// Links are names that operators choose.
 type Config struct {
 	Objective Objective                   `json:"objective,omitempty"`
 	Regions   map[shmodel.Region]Region   `json:"regions,omitempty"`
@@ -30,7 +34,8 @@
 	Limits    Limits                      `json:"limits,omitzero"`
 }
 
-// Region lists the failure domains of a region and the latency to callers.
+// Region is one region. Latencies are one way, in milliseconds: ClientLatencyMS
+// to callers and InnerLatencyMS between the failure domains of the region.
 type Region struct {
 	FailureDomains  []shmodel.FailureDomain `json:"failureDomains"`
 	ClientLatencyMS float64                 `json:"clientLatencyMs,omitempty"`
@@ -39,7 +44,8 @@
 
 // Link is the ordered pair of regions From → To. Rates are in bits per second.
 // CapBitsPerSecond bounds all traffic of the system on the pair;
-// ControlBitsPerSecond of it is kept for control and account messages.
+// ControlBitsPerSecond of it is kept for control and account messages. LatencyMS
+// is the one-way latency in milliseconds.
 type Link struct {
 	From                 shmodel.Region `json:"from"`
 	To                   shmodel.Region `json:"to"`
@@ -86,7 +92,16 @@
 	LatencyMS int64   `json:"latencyMs"`
 }
 
-// Limits holds deployment-wide limits. Zero values select the defaults.
+// Limits holds deployment-wide limits. Zero values select the defaults, which
+// are in WithDefaults.
+//
+//   - LookupCacheMS is how long callers may cache a lookup answer, in ms.
+//   - CrashLimit is the number of backend servers that a request may crash
+//     before it is quarantined.
+//   - RetryShare and HedgeShare are extra attempts per request, 0 to 1.
+//   - ReserveShare is the share of slots kept for local demand, 0 to 0.9.
+//   - ClaimHours is how long claims of once-only work keep their answers.
+//   - ClockErrorMS is the largest difference between the clocks of VMs, in ms.
 type Limits struct {
 	LookupCacheMS int64   `json:"lookupCacheMs,omitempty"`
 	CrashLimit    int     `json:"crashLimit,omitempty"`
--- a/state/shconfig/delta.go
+++ b/state/shconfig/delta.go
@@ -10,7 +10,8 @@
 type Change = shdocument.Change
 
 // Diff lists the differences between two configurations in a stable order,
-// with JSON pointers as paths. Lists count as one value.
+// with JSON pointers as paths. Lists count as one value. The error says that a
+// configuration has no JSON form.
 func Diff(from, to Config) ([]Change, error) {
 	before, after, err := encodeBoth(from, to)
 	if err != nil {
@@ -19,7 +20,8 @@
 	return shdocument.Diff(before, after)
 }
 
-// Delta returns the JSON merge patch (RFC 7396) that turns from into to.
+// Delta returns the JSON merge patch (RFC 7396) that turns from into to. A
+// configuration with a nil list of failure domains has none and is an error.
 func Delta(from, to Config) (json.RawMessage, error) {
 	before, after, err := encodeBoth(from, to)
 	if err != nil {
--- a/state/shmodel/model.go
+++ b/state/shmodel/model.go
@@ -56,9 +56,12 @@
 
 // Outcomes. NotRun is only ever reported when it is certain.
 const (
+	// Answered says that the answer of the backend server is complete.
 	Answered Outcome = "answered"
-	NotRun   Outcome = "not-run"
-	Unknown  Outcome = "unknown"
+	// NotRun says that the request did not run and will not run.
+	NotRun Outcome = "not-run"
+	// Unknown says that the request may have run or may still run.
+	Unknown Outcome = "unknown"
 )
 
 // OperationKind states how often an operation may run.
@@ -66,8 +69,10 @@
 
 // Operation kinds.
 const (
+	// Idempotent operations may run any number of times.
 	Idempotent OperationKind = "idempotent"
-	OnceOnly   OperationKind = "once-only"
+	// OnceOnly operations run at most once per idempotency key.
+	OnceOnly OperationKind = "once-only"
 )
 
 // Digest identifies the content of a request: service, method, path with
--- a/state/shrecord/export.go
+++ b/state/shrecord/export.go
@@ -47,15 +47,25 @@
 
 // Kinds of problems.
 const (
-	ContradictoryCopies  ProblemKind = "contradictory-copies"
-	DuplicateClosing     ProblemKind = "duplicate-closing"
+	// ContradictoryCopies says that copies of one record differ.
+	ContradictoryCopies ProblemKind = "contradictory-copies"
+	// DuplicateClosing says that two closing records have the same outcome.
+	DuplicateClosing ProblemKind = "duplicate-closing"
+	// ContradictoryClosing says that two closing records have different outcomes.
 	ContradictoryClosing ProblemKind = "contradictory-closing"
-	DuplicateOpening     ProblemKind = "duplicate-opening"
-	MissingOpening       ProblemKind = "missing-opening"
-	MissingAttempt       ProblemKind = "missing-attempt"
-	OutsideRange         ProblemKind = "outside-range"
-	WrongVM              ProblemKind = "wrong-vm"
-	InvalidRecord        ProblemKind = "invalid-record"
+	// DuplicateOpening says that two VMs opened the request.
+	DuplicateOpening ProblemKind = "duplicate-opening"
+	// MissingOpening says that a request that was not refused has no opening
+	// record.
+	MissingOpening ProblemKind = "missing-opening"
+	// MissingAttempt says that fewer attempts are recorded than were made.
+	MissingAttempt ProblemKind = "missing-attempt"
+	// OutsideRange says that a request ID is in no reserved range.
+	OutsideRange ProblemKind = "outside-range"
+	// WrongVM says that the range of the request ID belongs to another VM.
+	WrongVM ProblemKind = "wrong-vm"
+	// InvalidRecord says that Record.Validate fails.
+	InvalidRecord ProblemKind = "invalid-record"
 	// CountedTwice and NotCounted are faults of a list of lines.
 	CountedTwice ProblemKind = "counted-twice"
 	NotCounted   ProblemKind = "not-counted"
--- a/state/shrecord/record.go
+++ b/state/shrecord/record.go
@@ -3,7 +3,11 @@
 // A request has one opening record, one record per attempt and one closing
 // record; a refused request has a single refusal record. Records are numbered
 // by request ID, and request IDs come from dense ranges, so a missing number
-// is itself visible.
+// is itself visible. Each record is stored on several VMs.
+//
+// Merge merges the copies, Export makes one Line per request, and Verify proves
+// that no request ID is missing or counted twice. All three work on sequences
+// in the order of Identity.Compare, in bounded memory.
 package shrecord
 
 import (
@@ -17,11 +21,16 @@
 
 // Kinds of records.
 const (
-	Opened     Kind = "opened"
-	Attempted  Kind = "attempted"
+	// Opened is written before the first attempt.
+	Opened Kind = "opened"
+	// Attempted is written for each attempt.
+	Attempted Kind = "attempted"
+	// HandedOver says that the request went to another entry VM.
 	HandedOver Kind = "handed-over"
-	Closed     Kind = "closed"
-	Refused    Kind = "refused"
+	// Closed carries the outcome.
+	Closed Kind = "closed"
+	// Refused is the only record of a request that was refused on arrival.
+	Refused Kind = "refused"
 )
 
 // Record is one line of the account. RequestID, Kind, VM and Attempt together
--- a/state/shsettings/settings.go
+++ b/state/shsettings/settings.go
@@ -18,8 +18,11 @@
 
 // Roles.
 const (
-	Entry   Role = "entry"
+	// Entry admits requests of callers and owns backend servers.
+	Entry Role = "entry"
+	// Control holds the replicated state.
 	Control Role = "control"
+	// Account stores account records.
 	Account Role = "account"
 )
 
@@ -31,7 +34,7 @@
 	Roles         []Role                `json:"roles"`
 	// DataFolder is where durable files live. Control and account need it.
 	DataFolder string `json:"dataFolder,omitempty"`
-	// CallerAddress serves look-ups and requests of callers over HTTP.
+	// CallerAddress serves lookups and requests of callers over HTTP.
 	CallerAddress string `json:"callerAddress"`
 	// ServerAddress serves announcements of backend servers and requests
 	// forwarded by other entry VMs over HTTP.
