--- a/coordination/shdirectory/directory.go
+++ b/coordination/shdirectory/directory.go
@@ -5,7 +5,7 @@
 // keeps a Directory and passes the news to the other control VMs; the order of
 // the heartbeats of one VM is its incarnation, then its sequence. A VM without
 // news for 2 s is removed. Entry VMs follow the Directory of one control VM
-// with a Follower and answer look-ups from it with Lookup.
+// with a Follower and answer lookups from it with Lookup.
 //
 // Times are passed in, with their monotonic reading. Messages carry ages, not
 // times, because the clocks of VMs differ.
--- a/coordination/shdirectory/lookup.go
+++ b/coordination/shdirectory/lookup.go
@@ -14,7 +14,7 @@
 // failure domain. Callers try about as many.
 const spanned = 3
 
-// Query is a look-up of a caller.
+// Query is a lookup of a caller.
 type Query struct {
 	Service shmodel.Service
 	// Region is the region of the caller.
--- a/coordination/shdirectory/lookup_test.go
+++ b/coordination/shdirectory/lookup_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Guards the order of look-up answers.
+// Guards the order of lookup answers.
 func TestLookupOrder(t *testing.T) {
 	t.Run("nearest region first", func(t *testing.T) {
 		callers(seven(), func(_ shdirectory.Query, answer []shdirectory.Heartbeat) {
--- a/internal/shmeasure/deployment.go
+++ b/internal/shmeasure/deployment.go
@@ -25,7 +25,7 @@
 	linkBits float64
 }
 
-// service has idempotent look-ups only.
+// service has idempotent lookups only.
 type service struct {
 	name    shmodel.Service
 	servers int
--- a/internal/shmeasure/main.go
+++ b/internal/shmeasure/main.go
@@ -32,7 +32,7 @@
 	answers  int
 	late     int
 	refusals int
-	// avoidable counts refusals of look-ups that a free slot could have served.
+	// avoidable counts refusals of lookups that a free slot could have served.
 	avoidable int
 }
 
--- a/internal/shmeasure/soft.go
+++ b/internal/shmeasure/soft.go
@@ -89,7 +89,7 @@
 	for i, service := range w.services {
 		load := v.table.Load(w.time(), service.name)
 		r := shrouting.Report{VM: v.name, Place: v.place, Free: load.Free, Usable: load.Usable, At: w.time()}
-		if v.liar {
+		if v.claimsIdle {
 			r.Free = r.Usable
 		}
 		w.after(viaLeader+w.reportDelay, func() {
--- a/internal/shmeasure/vm.go
+++ b/internal/shmeasure/vm.go
@@ -15,14 +15,14 @@
 
 // vm is one entry VM.
 type vm struct {
-	world  *world
-	index  int
-	region int
-	name   shmodel.VM
-	place  shmodel.Place
-	policy shrouting.Policy
-	alive  bool
-	liar   bool
+	world      *world
+	index      int
+	region     int
+	name       shmodel.VM
+	place      shmodel.Place
+	policy     shrouting.Policy
+	alive      bool
+	claimsIdle bool
 	// life rises with each restart; events of earlier lives have no effect.
 	life    int
 	table   *shslot.Table
@@ -61,7 +61,7 @@
 	back   time.Duration
 	origin *vm
 	tried  []shmodel.VM
-	// forwarded is set while the look-up is at another VM.
+	// forwarded is set while the lookup is at another VM.
 	forwarded bool
 	credit    shslot.CreditID
 	forward   shrouting.ForwardID
@@ -106,7 +106,7 @@
 	v.reset()
 }
 
-// receive is the arrival of a look-up from its caller.
+// receive is the arrival of a lookup from its caller.
 func (v *vm) receive(q *lookup) {
 	if !v.alive {
 		v.world.after(callerRetry, func() { v.world.send(q) })
@@ -183,7 +183,7 @@
 	return w.vms[i]
 }
 
-// hand sends a look-up to another VM.
+// hand sends a lookup to another VM.
 func (v *vm) hand(q *lookup, to *vm) {
 	v.leaveQueue(q)
 	w := v.world
@@ -200,7 +200,7 @@
 	})
 }
 
-// handedBack makes another choice after a VM refused a look-up.
+// handedBack makes another choice after a VM refused a lookup.
 func (v *vm) handedBack(q *lookup, from *vm, life int) {
 	if life != v.life || !v.alive {
 		v.world.after(callerRetry, func() { v.world.send(q) })
@@ -262,7 +262,7 @@
 	w.result.answered(w.now, w.now+delay-q.born, q.service.timeout)
 }
 
-// wait queues a look-up; another choice is made while it waits.
+// wait queues a lookup; another choice is made while it waits.
 func (v *vm) wait(q *lookup) {
 	if !q.waits {
 		q.waits = true
@@ -290,7 +290,7 @@
 	}
 }
 
-// drain serves waiting look-ups with freed slots.
+// drain serves waiting lookups with freed slots.
 func (v *vm) drain(i int) {
 	for len(v.waiting[i]) > 0 && v.serve(v.waiting[i][0]) {
 		continue
@@ -312,7 +312,7 @@
 	w.result.refused(w.now, w.servable(q))
 }
 
-// servable says whether a slot was free that the look-up could have used: in
+// servable says whether a slot was free that the lookup could have used: in
 // the region, or spare in another one.
 func (w *world) servable(q *lookup) bool {
 	for _, v := range w.vms {
--- a/internal/shmeasure/world.go
+++ b/internal/shmeasure/world.go
@@ -94,14 +94,14 @@
 
 func (w *world) addVM(region, i int, policy shrouting.Policy) {
 	v := &vm{
-		world:  w,
-		index:  len(w.vms),
-		region: region,
-		name:   shmodel.VM(fmt.Sprintf("vm%d", len(w.vms))),
-		place:  place(region, i%2),
-		policy: policy,
-		alive:  true,
-		liar:   w.claimIdle && i == 0,
+		world:      w,
+		index:      len(w.vms),
+		region:     region,
+		name:       shmodel.VM(fmt.Sprintf("vm%d", len(w.vms))),
+		place:      place(region, i%2),
+		policy:     policy,
+		alive:      true,
+		claimsIdle: w.claimIdle && i == 0,
 	}
 	v.reset()
 	w.vms = append(w.vms, v)
@@ -234,7 +234,7 @@
 	return best
 }
 
-// arrivals lets callers of a region send look-ups of a service. They have their
+// arrivals lets callers of a region send lookups of a service. They have their
 // own random numbers, so that all policies get the same arrivals.
 func (w *world) arrivals(i, region int) {
 	service := w.services[i]
@@ -250,7 +250,7 @@
 	w.after(0, next)
 }
 
-// send is a caller that uses an entry VM of its region. Without one, look-up
+// send is a caller that uses an entry VM of its region. Without one, lookup
 // answers spread callers over the other regions.
 func (w *world) send(q *lookup) {
 	first := 1 + w.rand.Intn(len(w.callers)-1)
--- a/transport/shbackend/announcer.go
+++ b/transport/shbackend/announcer.go
@@ -29,7 +29,8 @@
 	server *Server
 	client http.Client
 	done   chan struct{}
-	kick   chan struct{}
+	// wanted has a value when an announcement is due before the next interval.
+	wanted chan struct{}
 
 	owners  []string
 	owner   int
@@ -50,7 +51,7 @@
 	a.client.Timeout = announceTimeout
 	a.client.Transport = &http.Transport{IdleConnTimeout: 5 * time.Second}
 	a.done = make(chan struct{})
-	a.kick = make(chan struct{}, 1)
+	a.wanted = make(chan struct{}, 1)
 	a.owners = s.config.Owners
 	a.lease = defaultLease
 	go a.loop()
@@ -66,7 +67,7 @@
 
 func (a *announcer) wake() {
 	select {
-	case a.kick <- struct{}{}:
+	case a.wanted <- struct{}{}:
 	default:
 	}
 }
@@ -82,7 +83,7 @@
 		select {
 		case <-a.done:
 			return
-		case <-a.kick:
+		case <-a.wanted:
 		case <-t.C:
 		}
 	}
--- a/transport/shreplica/replica.go
+++ b/transport/shreplica/replica.go
@@ -11,7 +11,7 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -39,7 +39,8 @@
 	Store       shstore.Config
 	// Others are the peer addresses of the other control VMs.
 	Others []string
-	Log    *slog.Logger
+	// Log must be set.
+	Log *slog.Logger
 }
 
 // Replica is a running control role. Make one with Open.
@@ -109,7 +110,7 @@
 	}
 	encoded, err := shcontrol.EncodeResult(result)
 	if err != nil {
-		m.config.Log.Error("result could not be encoded", "error", err)
+		m.config.Log.Error("result of a command could not be encoded", "error", err)
 	}
 	return encoded
 }
@@ -141,7 +142,7 @@
 	}
 	result, err := r.store.Propose(ctx, q.Command)
 	if err == nil && !json.Valid(result) {
-		err = fmt.Errorf("no result of the command")
+		err = errors.New("the result of the command could not be encoded")
 	}
 	return shwire.ProposeResponse{Result: result}, err
 }
--- a/transport/shview/syncer.go
+++ b/transport/shview/syncer.go
@@ -23,7 +23,8 @@
 // An entry VM without heartbeat for 2 s is taken off the directory.
 const probeEvery = 4
 
-// Syncer keeps a View up to date.
+// Syncer keeps a View up to date. Set the exported fields, Log included, before
+// Run. View and Wake are safe for concurrent use.
 type Syncer struct {
 	Client   *shpeer.Client
 	Proposer *Proposer
@@ -33,15 +34,16 @@
 	Heartbeat func() shdirectory.Heartbeat
 	Log       *slog.Logger
 
-	view   atomic.Pointer[View]
-	wake   chan struct{}
-	once   sync.Once
+	view atomic.Pointer[View]
+	wake chan struct{}
+	once sync.Once
+	// target is the index in Addresses of the control VM to send heartbeats to.
 	target int
-	// asked is the control VM that the last heartbeat went to, and after the one
-	// that failed before the nearest was tried again. All are indexes.
-	asked int
-	after int
-	beats int
+	// asked is the index of the control VM that the last heartbeat went to, and
+	// lastFailed of the one that failed before the nearest was tried again.
+	asked      int
+	lastFailed int
+	heartbeats int
 	// unconfirmed says that the target is not in touch with a quorum.
 	unconfirmed bool
 	sequence    uint64
@@ -118,14 +120,14 @@
 // other while the target is not confirmed, since that may be in touch with the
 // quorum.
 func (s *Syncer) next() int {
-	s.beats++
+	s.heartbeats++
 	s.asked = s.target
 	switch {
-	case s.beats%probeEvery != 0 || len(s.Addresses) == 1:
+	case s.heartbeats%probeEvery != 0 || len(s.Addresses) == 1:
 	case s.target != 0:
 		s.asked = 0
 	case s.unconfirmed:
-		s.asked = 1 + s.beats/probeEvery%(len(s.Addresses)-1)
+		s.asked = 1 + s.heartbeats/probeEvery%(len(s.Addresses)-1)
 	}
 	return s.asked
 }
@@ -137,11 +139,11 @@
 		return
 	}
 	if s.target != 0 {
-		s.after = s.target
+		s.lastFailed = s.target
 		s.target = 0
 		return
 	}
-	s.target = (s.after + 1) % len(s.Addresses)
+	s.target = (s.lastFailed + 1) % len(s.Addresses)
 }
 
 // answered makes the control VM that was asked the target if it is confirmed or
