Name the subject in log lines and errors

Lines such as 'group made' or 'store stopped' did not tell a reader which of several groups and stores they concern, and size errors named no limit.

--- a/transport/shaccount/store.go
+++ b/transport/shaccount/store.go
@@ -93,7 +93,7 @@
 func (s *Store) load(at shsegment.Location, payload []byte) error {
 	var r shrecord.Record
 	if err := json.Unmarshal(payload, &r); err != nil {
-		return fmt.Errorf("record with a valid checksum: %w", err)
+		return fmt.Errorf("record has a valid checksum but cannot be decoded: %w", err)
 	}
 	s.index.put(s.index.key(r.Identity(), contentOf(payload)), entry{location: at})
 	return nil
--- a/transport/shlog/format.go
+++ b/transport/shlog/format.go
@@ -144,7 +144,7 @@
 	body := b[frameBytes:]
 	for range binary.LittleEndian.Uint32(b[16:]) {
 		if len(body) < 4 || int64(binary.LittleEndian.Uint32(body)) > int64(len(body)-4) {
-			return frame{}, 0, errors.New("frame contradicts itself")
+			return frame{}, 0, errors.New("lengths of records exceed the frame")
 		}
 		length := 4 + int(binary.LittleEndian.Uint32(body))
 		f.records = append(f.records, body[4:length:length])
--- a/transport/shoperator/problem.go
+++ b/transport/shoperator/problem.go
@@ -59,8 +59,8 @@
 	KindUnknown:      http.StatusGatewayTimeout,
 }
 
-// Error is the error type of the package. The client fills in Problem if the
-// server sent one.
+// Error is the error type of the package. Op is empty in errors of handlers. The
+// client fills in Problem if the server sent one.
 type Error struct {
 	Op      string
 	Kind    Kind
@@ -69,7 +69,13 @@
 }
 
 // Error implements error.
-func (e *Error) Error() string { return e.Op + ": " + string(e.Kind) + ": " + e.Err.Error() }
+func (e *Error) Error() string {
+	text := string(e.Kind) + ": " + e.Err.Error()
+	if e.Op == "" {
+		return text
+	}
+	return e.Op + ": " + text
+}
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
--- a/transport/shpeer/client.go
+++ b/transport/shpeer/client.go
@@ -101,7 +101,7 @@
 		return nil, newError(method, KindInvalid, err)
 	}
 	if len(params) > c.config.MaxMessageBytes {
-		return nil, newError(method, KindTooLarge, fmt.Errorf("request of %d bytes", len(params)))
+		return nil, newError(method, KindTooLarge, fmt.Errorf("request of %d bytes exceeds %d", len(params), c.config.MaxMessageBytes))
 	}
 	return params, nil
 }
--- a/transport/shpeer/server.go
+++ b/transport/shpeer/server.go
@@ -134,7 +134,7 @@
 	if r.Notif {
 		defer h.server.active.Done()
 		if _, err := h.run(ctx, r); err != nil {
-			h.server.config.Logger.Debug("notification failed", "method", r.Method, "error", err)
+			h.server.config.Logger.Debug("handling a peer notification failed", "method", r.Method, "error", err)
 		}
 		return
 	}
@@ -197,7 +197,7 @@
 		resp.Error = toWire(r.Method, err)
 	}
 	if err := conn.SendResponse(ctx, resp); err != nil {
-		h.server.config.Logger.Debug("answer not sent", "method", r.Method, "error", err)
+		h.server.config.Logger.Debug("answer to a peer call not sent", "method", r.Method, "error", err)
 	}
 }
 
@@ -207,7 +207,7 @@
 	}
 	if size := len(*resp.Result); size > h.server.config.MaxMessageBytes {
 		resp.Result = nil
-		return newError(method, KindTooLarge, fmt.Errorf("answer of %d bytes", size))
+		return newError(method, KindTooLarge, fmt.Errorf("answer of %d bytes exceeds %d", size, h.server.config.MaxMessageBytes))
 	}
 	return nil
 }
--- a/transport/shstore/call.go
+++ b/transport/shstore/call.go
@@ -238,7 +238,7 @@
 func (s *Store) Propose(ctx context.Context, data []byte) ([]byte, error) {
 	const op = "propose"
 	if len(data) > MaxProposalBytes {
-		return nil, newError(op, KindRefused, fmt.Errorf("%d bytes exceed %d", len(data), MaxProposalBytes))
+		return nil, newError(op, KindRefused, fmt.Errorf("proposal of %d bytes exceeds %d", len(data), MaxProposalBytes))
 	}
 	return s.submit(ctx, &call{op: op, kind: callPropose, data: data})
 }
--- a/transport/shstore/disk.go
+++ b/transport/shstore/disk.go
@@ -180,7 +180,7 @@
 
 func decodeEntry(index uint64, b []byte) (shraft.Entry, error) {
 	if len(b) < entryHeaderBytes {
-		return shraft.Entry{}, fmt.Errorf("entry %d has %d bytes", index, len(b))
+		return shraft.Entry{}, fmt.Errorf("entry %d has %d bytes, its header needs %d", index, len(b), entryHeaderBytes)
 	}
 	return shraft.Entry{
 		Index: index,
--- a/transport/shstore/membership.go
+++ b/transport/shstore/membership.go
@@ -78,7 +78,7 @@
 	s.others(func(ctx context.Context, _ int, p Peer) {
 		_, err := shpeer.Call[none](ctx, s.config.Client, p.Address, methodJoin, joinRequest{Member: s.member()})
 		if err != nil {
-			s.config.Logger.Debug("announcement not delivered", "vm", p.VM, "error", err)
+			s.config.Logger.Debug("request to join the raft group not delivered", "vm", p.VM, "error", err)
 		}
 	})
 }
@@ -97,13 +97,13 @@
 			members[i] = s.member()
 		}
 		if members[i].ID.IsZero() {
-			s.config.Logger.Info("group not made: VM did not answer that it is empty", "vm", p.VM)
+			s.config.Logger.Info("raft group not created: VM did not answer that it is empty", "vm", p.VM)
 			return
 		}
 	}
 	c := &call{op: "bootstrap", kind: callBootstrap, members: members}
 	if _, err := s.submit(s.ctx, c); err != nil {
-		s.config.Logger.Warn("group not made", "error", err)
+		s.config.Logger.Warn("raft group not created", "error", err)
 	}
 }
 
@@ -120,7 +120,7 @@
 	if err := s.disk.bootstrap(stored); err != nil {
 		return newError("bootstrap", KindStorage, err)
 	}
-	s.config.Logger.Info("group made", "voters", len(members))
+	s.config.Logger.Info("raft group created", "voters", len(members))
 	return s.start(stored)
 }
 
@@ -182,7 +182,7 @@
 			return shraft.Promote{ID: learner.ID}
 		}
 		if slices.Contains(s.nodeStatus.Active, former.ID) {
-			s.config.Logger.Error("two nodes run under one VM name", "vm", former.ID.VM)
+			s.config.Logger.Error("two raft nodes run under one VM name", "vm", former.ID.VM)
 			continue
 		}
 		return shraft.Remove{ID: former.ID}
--- a/transport/shstore/store.go
+++ b/transport/shstore/store.go
@@ -90,7 +90,7 @@
 		joining:   make(map[shmodel.VM]joiner),
 	}
 	if torn := d.log.Torn(); torn > 0 {
-		config.Logger.Warn("torn tail of the log was truncated", "bytes", torn)
+		config.Logger.Warn("torn tail of the raft log was truncated", "bytes", torn)
 	}
 	if err := s.start(stored); err != nil {
 		cancel()
@@ -153,7 +153,7 @@
 	s.cancel()
 	if err != nil {
 		s.failed = err
-		s.config.Logger.Error("store stopped", "error", err)
+		s.config.Logger.Error("replicated store stopped", "error", err)
 	}
 	closeErr := s.disk.log.Close()
 	if s.failed == nil && closeErr != nil {
@@ -332,7 +332,7 @@
 		clear(s.joining)
 	}
 	s.publish()
-	s.config.Logger.Info("role changed", "role", e.Role, "term", e.Term, "leader", e.Leader.VM, "ready", e.Ready)
+	s.config.Logger.Info("raft role changed", "role", e.Role, "term", e.Term, "leader", e.Leader.VM, "ready", e.Ready)
 	s.config.OnRole(Role{
 		Leader: e.Role == shraft.Leader, Ready: e.Ready, Term: e.Term, Current: s.leader(),
 	})
--- a/transport/shview/syncer.go
+++ b/transport/shview/syncer.go
@@ -211,7 +211,7 @@
 	}
 	config, err := c.Apply(v.Config.Config)
 	if err != nil {
-		s.Log.Error("change of the configuration could not be applied", "revision", c.To, "error", err)
+		s.Log.Error("change of the configuration could not be applied; asking for the whole configuration", "revision", c.To, "error", err)
 		s.askWhole = true
 		return
 	}
