--- a/cmd/sequoiahollow/main_test.go
+++ b/cmd/sequoiahollow/main_test.go
@@ -102,7 +102,7 @@
 }
 
 func (f *fakeBackend) Status(context.Context) (shoperator.Status, error) {
-	return shoperator.Status{Revision: 9, Daemons: []shoperator.Daemon{
+	return shoperator.Status{Revision: 9, Confirmed: true, Daemons: []shoperator.Daemon{
 		{VM: "a", Revision: 9, AgeMS: 120},
 		{VM: "b", Revision: 8, AgeMS: 90_000, Missing: true},
 	}}, nil
--- a/cmd/sequoiahollow/operator.go
+++ b/cmd/sequoiahollow/operator.go
@@ -97,6 +97,9 @@
 
 func (e *environment) printStatus(s shoperator.Status) {
 	e.printf("revision %d\n", s.Revision)
+	if !s.Confirmed {
+		e.printf("no quorum confirmed this; it is what the VM knew last\n")
+	}
 	behind := 0
 	for _, d := range s.Daemons {
 		if d.Revision != s.Revision || d.Missing {
--- a/transport/shdaemon/operations.go
+++ b/transport/shdaemon/operations.go
@@ -102,6 +102,7 @@
 	r, err := o.proposer.Read(ctx, shwire.ReadRequest{Entries: true})
 	if err == nil {
 		status.Revision = r.Revision
+		status.Confirmed = true
 		// Entry VMs are not told of heartbeats that change nothing but the
 		// revision.
 		entries = r.Entries
--- a/transport/shoperator/backend.go
+++ b/transport/shoperator/backend.go
@@ -88,8 +88,11 @@
 // Status is the state of the deployment as the answering VM knows it.
 type Status struct {
 	// Revision is the latest accepted revision.
-	Revision uint64   `json:"revision"`
-	Daemons  []Daemon `json:"daemons"`
+	Revision uint64 `json:"revision"`
+	// Confirmed says that a quorum confirmed the status. Otherwise it is what
+	// the answering VM knew last.
+	Confirmed bool     `json:"confirmed"`
+	Daemons   []Daemon `json:"daemons"`
 }
 
 // Daemon is one process. Revision is the one in force there. AgeMS is the time
