--- a/transport/shentry/deployment_test.go
+++ b/transport/shentry/deployment_test.go
@@ -47,10 +47,11 @@
 
 	view    atomic.Pointer[shview.View]
 	entries []shdirectory.Heartbeat
+	vms     map[string]*testVM
 }
 
 func newDeployment(t *testing.T) *deployment {
-	d := &deployment{records: map[shrecord.Identity]shrecord.Record{}}
+	d := &deployment{records: map[shrecord.Identity]shrecord.Record{}, vms: map[string]*testVM{}}
 	c := shconfig.Config{
 		Objective: shconfig.Headroom,
 		Regions: map[shmodel.Region]shconfig.Region{
@@ -165,7 +166,11 @@
 			g, _ := r.(shcontrol.GrantResult)
 			return g, err
 		}},
-		Credits: &Credits{VM: name},
+		Credits: &Credits{VM: name, Ask: func(_ context.Context, address string, q shwire.CreditRequest) (shwire.CreditResponse, error) {
+			// As in the daemon, an owner that lends slots prepares the link.
+			d.vms[address].Links.Want(d.vms[string(q.VM)].Place.Region, 0)
+			return d.vms[address].Slots.Credit(q), nil
+		}},
 	}}
 	v.Slots = NewSlots(string(name), 0.2, func(c shslot.CrashSuspected) {
 		_, _ = d.propose(context.Background(), shcontrol.ReportCrash{BackendServer: c.BackendServer, Digests: c.Digests, Solo: c.Solo})
@@ -186,10 +191,11 @@
 	go v.Slots.Run(t.Context())
 	go v.Links.Run(t.Context())
 	v.heartbeat = shdirectory.Heartbeat{
-		VM: name, Place: place, Services: map[shmodel.Service]shdirectory.Slots{testService: {Total: 2}, testOnceOnly: {Total: 2}},
+		VM: name, Place: place, PeerAddress: string(name), Services: map[shmodel.Service]shdirectory.Slots{testService: {Total: 2}, testOnceOnly: {Total: 2}},
 		CallerAddress: strings.TrimPrefix(callers.URL, "http://"), ServerAddress: strings.TrimPrefix(servers.URL, "http://"),
 	}
 	d.entries = append(d.entries, v.heartbeat)
+	d.vms[string(name)] = v
 	d.publish(t, d.view.Load().Config.Config)
 	v.caller.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return v
--- a/transport/shentry/server_test.go
+++ b/transport/shentry/server_test.go
@@ -314,6 +314,30 @@
 	}
 }
 
+// Guards against a shift to another region without credit, grant or record.
+func TestShift(t *testing.T) {
+	for _, service := range []shmodel.Service{testService, testOnceOnly} {
+		t.Run(string(service), func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			receiver, owner := d.start(t, "vm-1", "south"), d.start(t, "vm-2", "north")
+			owner.serve(t, service, nil, "b1", "b2", "b3")
+			a := receiver.call(t, service, http.MethodPost, "/x", "", shwire.HeaderKey, "k")
+			assert.Equal(t, a.problem.Reason, "no-capacity", "no grant was asked for yet")
+			d.checkAccount(t, a, "refused:not-run:no-capacity")
+			waitFor(t, "a grant", func() bool { return receiver.Links.BitsPerSecond()["north"] > 0 })
+			waitFor(t, "a shift", func() bool {
+				a = receiver.call(t, service, http.MethodPost, "/x?bytes=100000", "", shwire.HeaderKey, "k")
+				return a.status == http.StatusOK
+			})
+			assert.Equal(t, len(a.body), 100_000)
+			d.checkAccount(t, a, "opened attempted:answered handed-over closed:answered")
+			assert.Equal(t, d.runs(), 1)
+			assert.Assert(t, owner.Links.BitsPerSecond()["south"] > 0, "answer without a grant")
+		})
+	}
+}
+
 // Guards against a forwarded request that runs without its description or after
 // its deadline, and against an answer that is taken for that of another one.
 func TestForwardRefused(t *testing.T) {
