--- a/coordination/shraft/event.go
+++ b/coordination/shraft/event.go
@@ -154,27 +154,41 @@
 
 // Roles.
 const (
-	Follower     Role = "follower"
+	// Follower accepts entries from the leader.
+	Follower Role = "follower"
+	// PreCandidate asks whether it would win, before it raises its term.
 	PreCandidate Role = "pre-candidate"
-	Candidate    Role = "candidate"
-	Leader       Role = "leader"
+	// Candidate asks for votes in its term.
+	Candidate Role = "candidate"
+	// Leader replicates entries to the other members.
+	Leader Role = "leader"
 )
 
-// Reason says why an event was refused.
+// Reason says why an event was refused. Its text is meant for people.
 type Reason string
 
 // Reasons.
 const (
-	NotLeader    Reason = "not leader"
+	// NotLeader refuses every event that only the leader takes.
+	NotLeader Reason = "not leader"
+	// Transferring refuses proposals, changes and another Transfer meanwhile.
 	Transferring Reason = "leadership transfer in progress"
-	NotReady     Reason = "leader has not committed an entry of its term"
-	ChangeOpen   Reason = "another membership change is not committed"
-	NotCaughtUp  Reason = "learner has not caught up"
+	// NotReady refuses a membership change before the leader committed an entry.
+	NotReady Reason = "leader has not committed an entry of its term"
+	// ChangeOpen refuses a second membership change at the same time.
+	ChangeOpen Reason = "another membership change is not committed"
+	// NotCaughtUp refuses a Promote.
+	NotCaughtUp Reason = "learner has not caught up"
+	// NoSuchMember refuses a Promote, Remove or Transfer of an unknown ID.
 	NoSuchMember Reason = "no such member"
+	// MemberExists refuses an AddLearner.
 	MemberExists Reason = "member exists"
-	IsLeader     Reason = "member is the leader"
-	Abandoned    Reason = "successor did not take over in time"
-	NoQuorum     Reason = "too few active voters after the change"
+	// IsLeader refuses a Remove of the leader.
+	IsLeader Reason = "member is the leader"
+	// Abandoned ends a Transfer after Config.ElectionTimeoutMax.
+	Abandoned Reason = "successor did not take over in time"
+	// NoQuorum refuses a change that leaves too few voters in contact.
+	NoQuorum Reason = "too few active voters after the change"
 )
 
 // Status describes a node.
--- a/coordination/shraft/raft.go
+++ b/coordination/shraft/raft.go
@@ -94,7 +94,8 @@
 // Defaults of Config. The election timeout is ten round trips of the slowest
 // link (35 ms one way), so that a few lost heartbeats cause no election. The
 // sizes keep a message on the thinnest link (280 Mbit/s) to about 10 ms, so that
-// heartbeats are not held up.
+// heartbeats are not held up. Batches and chunks are in bytes, MaxInFlight and
+// Trailing in entries.
 const (
 	DefaultHeartbeat          = 100 * time.Millisecond
 	DefaultElectionTimeout    = 700 * time.Millisecond
--- a/coordination/shreplication/machine.go
+++ b/coordination/shreplication/machine.go
@@ -29,7 +29,7 @@
 	LongestPause time.Duration
 }
 
-// Defaults of Config.
+// Defaults of Config. DefaultInFlight is in appends per target.
 const (
 	DefaultInFlight     = 32
 	DefaultTimeout      = 300 * time.Millisecond
--- a/transport/shlog/shlog.go
+++ b/transport/shlog/shlog.go
@@ -86,7 +86,7 @@
 	return &Error{Op: op, Kind: KindDamaged, File: file, Offset: offset, Err: err}
 }
 
-// DefaultSegmentBytes is the size at which a new segment starts.
+// DefaultSegmentBytes is the default of Options.SegmentBytes, 16 MiB.
 const DefaultSegmentBytes = 16 << 20
 
 // Options configures a Log. Zero fields take the defaults.
--- a/transport/shpeer/shpeer.go
+++ b/transport/shpeer/shpeer.go
@@ -24,7 +24,7 @@
 	"time"
 )
 
-// Defaults of Config.
+// Defaults of Config. Messages are in bytes of JSON.
 const (
 	DefaultMaxMessageBytes = 16 << 20
 	DefaultMaxCalls        = 1024
@@ -47,8 +47,9 @@
 	MaxCalls int
 	// Connections is the number of connections per address.
 	Connections int
-	Ping        time.Duration
-	Silence     time.Duration
+	// Ping is the time between pings on a connection.
+	Ping    time.Duration
+	Silence time.Duration
 	// CallTimeout applies to calls whose context has no deadline.
 	CallTimeout time.Duration
 	// Traffic counts bytes. A Server and a Client may share one.
--- a/transport/shstore/shstore.go
+++ b/transport/shstore/shstore.go
@@ -72,7 +72,9 @@
 
 // Defaults of Config.
 const (
-	DefaultTick          = 20 * time.Millisecond
+	// DefaultTick is the time between ticks of the node.
+	DefaultTick = 20 * time.Millisecond
+	// DefaultSnapshotEvery is in entries.
 	DefaultSnapshotEvery = 8192
 	// DefaultJoinInterval is the time between announcements of a store that
 	// belongs to no group.
@@ -96,11 +98,14 @@
 
 	// Raft sets timings and limits. ID and Seed are ignored.
 	Raft shraft.Config
+	// Tick is the time between ticks of the node.
 	Tick time.Duration
 	// SnapshotEvery is the number of entries after which a snapshot is made, if
 	// they amount to half the size of the last one.
 	SnapshotEvery uint64
-	JoinInterval  time.Duration
+	// JoinInterval is the time between requests to join of a store without a
+	// group.
+	JoinInterval time.Duration
 	// ManualMembership leaves all membership changes to the caller.
 	ManualMembership bool
 	// OnRole is called by the owner goroutine after each change of role, term,
