--- /dev/null
+++ b/coordination/shraft/change.go
@@ -0,0 +1,99 @@
+package shraft
+
+import (
+	"encoding/json"
+)
+
+// changeAllowed returns why no membership change may start now, or "". A leader
+// must have committed an entry of its term, or two leaders could each commit a
+// change that the other does not know of.
+func (n *Node) changeAllowed() Reason {
+	switch {
+	case n.lead == nil:
+		return NotLeader
+	case !n.lead.transferTo.IsZero():
+		return Transferring
+	case !n.isReady():
+		return NotReady
+	case n.history[len(n.history)-1].index > n.commit:
+		return ChangeOpen
+	}
+	return ""
+}
+
+func (n *Node) addLearner(ev AddLearner) {
+	reason := n.changeAllowed()
+	current := n.membership()
+	if reason == "" && find(current.Members(), ev.Member.ID) >= 0 {
+		reason = MemberExists
+	}
+	if reason != "" {
+		n.refuse(ev.Token, reason)
+		return
+	}
+	n.change(ev.Token, current.withLearner(ev.Member))
+}
+
+func (n *Node) promote(ev Promote) {
+	reason := n.changeAllowed()
+	current := n.membership()
+	switch {
+	case reason != "":
+	case !current.IsLearner(ev.ID):
+		reason = NoSuchMember
+	case !n.lead.isCaughtUp(n, ev.ID):
+		reason = NotCaughtUp
+	case !n.hasActiveQuorum(current.withPromoted(ev.ID)):
+		reason = NoQuorum
+	}
+	if reason != "" {
+		n.refuse(ev.Token, reason)
+		return
+	}
+	n.change(ev.Token, current.withPromoted(ev.ID))
+}
+
+func (n *Node) remove(ev Remove) {
+	reason := n.changeAllowed()
+	current := n.membership()
+	switch {
+	case reason != "":
+	case ev.ID == n.config.ID:
+		reason = IsLeader
+	case find(current.Members(), ev.ID) < 0:
+		reason = NoSuchMember
+	case !n.hasActiveQuorum(current.without(ev.ID)):
+		reason = NoQuorum
+	}
+	if reason != "" {
+		n.refuse(ev.Token, reason)
+		return
+	}
+	n.change(ev.Token, current.without(ev.ID))
+}
+
+// hasActiveQuorum reports whether enough voters of a membership are in contact.
+// Without them the change could not be committed, nor anything after it.
+func (n *Node) hasActiveQuorum(m Membership) bool {
+	active := 0
+	for _, v := range m.Voters {
+		if n.lead.isActive(n, v.ID) {
+			active++
+		}
+	}
+	return active >= m.quorum()
+}
+
+// change appends a membership, which takes effect at once.
+func (n *Node) change(token uint64, m Membership) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // a Membership always has a JSON form
+	}
+	index := n.appendEntry(Change, data)
+	n.history = append(n.history, membershipAt{index: index, membership: m})
+	n.lead.syncMembers(n)
+	n.accept(token, index)
+	n.broadcast()
+	n.advanceCommit()
+}
--- a/coordination/shreplication/machine.go
+++ b/coordination/shreplication/machine.go
@@ -38,10 +38,6 @@
 	DefaultLongestPause = 5 * time.Second
 )
 
-// waitingScan bounds the waiting batches that one event may place, so that the
-// cost of an event does not grow with the backlog.
-const waitingScan = 128
-
 // state is what a target holds of a batch.
 type state uint8
 
@@ -74,14 +70,6 @@
 	holders []holder
 }
 
-// target is a Target with its recent failures.
-type target struct {
-	Target
-	inFlight    int
-	failures    int
-	pausedUntil time.Time
-}
-
 // Machine decides where batches are copied. Use New.
 type Machine struct {
 	config  Config
@@ -144,14 +132,6 @@
 	return m.owed[0]
 }
 
-// Reachable reports whether some target in another failure domain is healthy
-// and not paused.
-func (m *Machine) Reachable(now time.Time) bool {
-	return slices.ContainsFunc(m.order, func(t *target) bool {
-		return t.Place != m.config.Place && t.usable(now)
-	})
-}
-
 // Next returns when the machine wants a Tick, if it does.
 func (m *Machine) Next(now time.Time) (time.Time, bool) {
 	var next time.Time
@@ -174,68 +154,6 @@
 	return next, !next.IsZero()
 }
 
-func (t *target) usable(now time.Time) bool {
-	return t.Healthy && !now.Before(t.pausedUntil)
-}
-
-// rank orders targets: another failure domain of the region, other regions, the
-// own failure domain, the VM itself.
-func (m *Machine) rank(t *target) int {
-	switch {
-	case t.VM == m.config.Self:
-		return 3
-	case t.Place == m.config.Place:
-		return 2
-	case t.Place.Region == m.config.Place.Region:
-		return 0
-	}
-	return 1
-}
-
-// spread orders targets that are otherwise equal differently on each VM, so
-// that entry VMs do not all use the same one. It is an FNV-1a hash.
-func spread(self, vm shmodel.VM) uint64 {
-	hash := uint64(14695981039346656037)
-	for _, c := range []byte(string(self) + "\x00" + string(vm)) {
-		hash = (hash ^ uint64(c)) * 1099511628211
-	}
-	return hash
-}
-
-func (m *Machine) changeTargets(now time.Time, targets []Target) {
-	known := m.targets
-	m.targets = make(map[shmodel.VM]*target, len(targets))
-	m.order = m.order[:0]
-	for _, t := range targets {
-		if t.VM == m.config.Self && !m.config.UseSelf {
-			continue
-		}
-		kept := known[t.VM]
-		if kept == nil {
-			kept = &target{}
-		}
-		kept.Target = t
-		m.targets[t.VM] = kept
-		m.order = append(m.order, kept)
-	}
-	slices.SortFunc(m.order, func(a, b *target) int {
-		return cmp.Or(
-			cmp.Compare(m.rank(a), m.rank(b)),
-			cmp.Compare(a.Distance, b.Distance),
-			cmp.Compare(spread(m.config.Self, a.VM), spread(m.config.Self, b.VM)),
-		)
-	})
-	for _, id := range slices.Clone(m.owed) {
-		b := m.batches[id]
-		for i := range b.holders {
-			if m.targets[b.holders[i].vm] == nil {
-				b.holders[i].state = none
-			}
-		}
-		m.place(now, b)
-	}
-}
-
 func (m *Machine) submit(now time.Time, e Submitted) {
 	b := &batch{id: e.Batch, level: e.Level, giveUp: now.Add(m.config.GiveUp)}
 	m.batches[e.Batch] = b
@@ -369,26 +287,6 @@
 	return false
 }
 
-// place starts what b still needs. If a target is missing, b waits.
-func (m *Machine) place(now time.Time, b *batch) {
-	if m.reached(b) {
-		m.settle(b, Reached{Batch: b.id})
-	}
-	if b.complete() {
-		m.release(b)
-		return
-	}
-	placed := m.placeCopy(now, b)
-	placed = m.placeSyncs(now, b) && placed
-	at, waits := slices.BinarySearch(m.waiting, b.id)
-	switch {
-	case placed && waits:
-		m.waiting = slices.Delete(m.waiting, at, at+1)
-	case !placed && !waits:
-		m.waiting = slices.Insert(m.waiting, at, b.id)
-	}
-}
-
 func (m *Machine) release(b *batch) {
 	targets := make([]shmodel.VM, len(b.holders))
 	for i, h := range b.holders {
@@ -399,112 +297,3 @@
 	m.waiting = remove(m.waiting, b.id)
 	m.effects = append(m.effects, Released{Batch: b.id, Targets: targets})
 }
-
-// placeCopy sends the copy that a submitter waits for. It reports whether it
-// is on its way. A sync in progress does not replace it: the sync may be that
-// of a distant region.
-func (m *Machine) placeCopy(now time.Time, b *batch) bool {
-	if b.settled || b.level != Copied {
-		return true
-	}
-	for _, h := range b.holders {
-		if h.domain != m.config.Place && h.state == copying {
-			return true
-		}
-	}
-	for _, t := range m.order {
-		if t.Place == m.config.Place || !m.free(now, t, b, m.config.InFlight) {
-			continue
-		}
-		m.send(t, b, false)
-		return true
-	}
-	return false
-}
-
-// placeSyncs sends b to be synced until two failure domains have synced it or
-// are about to. It reports whether they do.
-func (m *Machine) placeSyncs(now time.Time, b *batch) bool {
-	var domains []shmodel.Place
-	for _, h := range b.holders {
-		switch h.state {
-		case synced, syncing:
-			if !slices.Contains(domains, h.domain) {
-				domains = append(domains, h.domain)
-			}
-		case copying:
-			if t := m.targets[h.vm]; t != nil && t.Disk {
-				// The sync follows when the copy has arrived.
-				domains = append(domains, h.domain)
-			}
-		}
-	}
-	limit := m.config.InFlight
-	if b.settled || b.level != Durable {
-		limit = max(1, limit/2)
-	}
-	for _, t := range m.order {
-		if len(domains) >= 2 {
-			return true
-		}
-		if !t.Disk || slices.Contains(domains, t.Place) || !m.free(now, t, b, limit) {
-			continue
-		}
-		m.send(t, b, true)
-		domains = append(domains, t.Place)
-	}
-	return len(domains) >= 2
-}
-
-// free reports whether b may be sent to t now.
-func (m *Machine) free(now time.Time, t *target, b *batch, limit int) bool {
-	if !t.usable(now) || t.inFlight >= limit {
-		return false
-	}
-	h := b.holder(t.VM)
-	if h == nil {
-		return true
-	}
-	if h.state == refused {
-		return !now.Before(h.retryAt)
-	}
-	return h.state == none || h.state == copied
-}
-
-func (m *Machine) send(t *target, b *batch, sync bool) {
-	h := b.holder(t.VM)
-	if h == nil {
-		b.holders = append(b.holders, holder{vm: t.VM})
-		h = &b.holders[len(b.holders)-1]
-	}
-	held := h.state == copied
-	h.domain, h.wasCopied, h.state = t.Place, held, copying
-	if sync {
-		h.state = syncing
-	}
-	t.inFlight++
-	m.effects = append(m.effects, Append{
-		Batch: b.id, Target: t.VM, Sync: sync, Held: held,
-		Timeout: m.config.Timeout + 4*t.Distance,
-	})
-}
-
-// placeWaiting tries waiting batches again, in turn: those that wait for a
-// failure domain that is gone must not hold up the others.
-func (m *Machine) placeWaiting(now time.Time) {
-	free := slices.ContainsFunc(m.order, func(t *target) bool {
-		return t.usable(now) && t.inFlight < max(1, m.config.InFlight/2)
-	})
-	if !free {
-		return
-	}
-	at, _ := slices.BinarySearch(m.waiting, m.scanFrom)
-	scan := slices.Concat(m.waiting[at:], m.waiting[:at])
-	scan = scan[:min(len(scan), waitingScan)]
-	for _, id := range scan {
-		m.place(now, m.batches[id])
-	}
-	if len(scan) > 0 {
-		m.scanFrom = scan[len(scan)-1] + 1
-	}
-}
--- a/transport/shaccount/store.go
+++ b/transport/shaccount/store.go
@@ -1,14 +1,11 @@
 package shaccount
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"os"
-	"slices"
 	"sync"
 	"time"
 
@@ -59,12 +56,6 @@
 	closed    bool
 }
 
-// owed is the unreleased batches of one origin. No batch below oldest is left.
-type owed struct {
-	oldest  uint64
-	batches map[uint64][]key
-}
-
 // OpenStore opens a store. A torn tail is truncated; damage elsewhere is read
 // around and listed by Opened.
 func OpenStore(options StoreOptions) (*Store, error) {
@@ -339,134 +330,6 @@
 	return r, json.Unmarshal(payload, &r)
 }
 
-// Release ends the duty to hold batches. A store without data folder drops
-// their records.
-func (s *Store) Release(_ context.Context, request ReleaseRequest) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.releaseBelow(request.Origin, request.Oldest)
-	for _, b := range request.Batches {
-		s.release(request.Origin, b)
-	}
-	return nil
-}
-
-func (o *owed) add(batch uint64, keys []key) {
-	o.batches[batch] = keys
-	o.oldest = min(o.oldest, batch)
-}
-
-// below returns the batches below oldest. It counts up or goes through all
-// batches, whichever is shorter, because each append calls it.
-func (o *owed) below(oldest uint64) []uint64 {
-	var batches []uint64
-	if oldest > o.oldest && oldest-o.oldest < uint64(len(o.batches)) {
-		for b := o.oldest; b < oldest; b++ {
-			if _, ok := o.batches[b]; ok {
-				batches = append(batches, b)
-			}
-		}
-	} else if oldest > o.oldest {
-		for b := range o.batches {
-			if b < oldest {
-				batches = append(batches, b)
-			}
-		}
-	}
-	o.oldest = max(o.oldest, oldest)
-	return batches
-}
-
-func (s *Store) releaseBelow(origin Origin, oldest uint64) {
-	o := s.owed[origin]
-	if o == nil {
-		return
-	}
-	for _, b := range o.below(oldest) {
-		s.release(origin, b)
-	}
-}
-
-func (s *Store) release(origin Origin, batch uint64) {
-	o := s.owed[origin]
-	if o == nil {
-		return
-	}
-	keys := o.batches[batch]
-	delete(o.batches, batch)
-	if len(o.batches) == 0 {
-		delete(s.owed, origin)
-	}
-	if s.log != nil {
-		return
-	}
-	for _, k := range keys {
-		s.index.remove(k)
-	}
-}
-
-// Origins returns the origins with batches that are not released, in order.
-func (s *Store) Origins() []Origin {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	origins := slices.Collect(maps.Keys(s.owed))
-	slices.SortFunc(origins, func(a, b Origin) int {
-		return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
-	return origins
-}
-
-// Adopt hands the batches of a process that has ended to outbox, which brings
-// them to two account VMs in its place. Every VM that holds such batches may
-// adopt them: appends are idempotent. It stops at the first error of outbox.
-func (s *Store) Adopt(ctx context.Context, origin Origin, outbox *Outbox) error {
-	s.mu.Lock()
-	var batches []uint64
-	if o := s.owed[origin]; o != nil {
-		batches = slices.Sorted(maps.Keys(o.batches))
-	}
-	s.mu.Unlock()
-	for _, b := range batches {
-		records, err := s.batch(origin, b)
-		if err != nil {
-			return err
-		}
-		if err := outbox.Write(ctx, records, Deferred); err != nil {
-			return err
-		}
-		s.mu.Lock()
-		s.release(origin, b)
-		s.mu.Unlock()
-	}
-	return nil
-}
-
-// batch returns the readable records of an owed batch.
-func (s *Store) batch(origin Origin, batch uint64) ([]shrecord.Record, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := s.owed[origin]
-	if o == nil {
-		return nil, nil
-	}
-	var records []shrecord.Record
-	for _, k := range o.batches[batch] {
-		e, ok := s.index.get(k)
-		if !ok {
-			continue
-		}
-		r, err := s.record(e)
-		if errors.Is(err, shsegment.ErrUnreadable) {
-			continue
-		}
-		if err != nil {
-			return nil, storeError("adopt", err)
-		}
-		records = append(records, r)
-	}
-	return records, nil
-}
-
 // Close syncs and closes the store.
 func (s *Store) Close() error {
 	s.mu.Lock()
