--- a/coordination/shcontrol/grants.go
+++ b/coordination/shcontrol/grants.go
@@ -23,7 +23,8 @@
 	askerAge = 5 * time.Second
 )
 
-// Grant is an active share of a link.
+// Grant is an active share of the link From → To. The holder VM may use it for
+// Duration, counted from before it asked.
 type Grant struct {
 	ID            uint64         `json:"id"`
 	VM            shmodel.VM     `json:"vm"`
--- a/state/shrecord/merge.go
+++ b/state/shrecord/merge.go
@@ -54,16 +54,21 @@
 	stops []func()
 }
 
+// Len implements heap.Interface.
 func (m *merger) Len() int { return len(m.heads) }
 
+// Less implements heap.Interface.
 func (m *merger) Less(i, j int) bool {
 	return m.heads[i].record.Identity().Compare(m.heads[j].record.Identity()) < 0
 }
 
+// Swap implements heap.Interface.
 func (m *merger) Swap(i, j int) { m.heads[i], m.heads[j] = m.heads[j], m.heads[i] }
 
+// Push implements heap.Interface.
 func (m *merger) Push(x any) { m.heads = append(m.heads, x.(*head)) }
 
+// Pop implements heap.Interface.
 func (m *merger) Pop() any {
 	last := m.heads[len(m.heads)-1]
 	m.heads = m.heads[:len(m.heads)-1]
--- a/state/shrecord/record.go
+++ b/state/shrecord/record.go
@@ -34,7 +34,10 @@
 )
 
 // Record is one line of the account. RequestID, Kind, VM and Attempt together
-// identify it; copies with the same identity are the same record.
+// identify it; copies with the same identity are the same record. FromRegion is
+// the region of the entry VM that received the request, ToRegion the one that
+// it was sent to. RequestBytes and AnswerBytes are in bytes, DurationUS in
+// microseconds.
 type Record struct {
 	RequestID shmodel.RequestID `json:"requestId"`
 	Kind      Kind              `json:"kind"`
--- a/state/shrecord/verify.go
+++ b/state/shrecord/verify.go
@@ -7,7 +7,7 @@
 	"sequoiahollow/state/shmodel"
 )
 
-// ProblemLimit bounds the problems that a report names; all are counted.
+// ProblemLimit is the number of problems that a report names; all are counted.
 const ProblemLimit = 1000
 
 // Report is the result of Verify. Assigned is the sum of the outcomes and
