--- a/coordination/shdirectory/bench_test.go
+++ b/coordination/shdirectory/bench_test.go
@@ -112,3 +112,26 @@
 	assert.NilError(b, json.Unmarshal(message, &delta))
 	assert.Assert(b, f.Apply(start, delta))
 }
+
+// BenchmarkFollow measures what an entry VM does with an answer that tells no
+// change: it applies it and sorts the list.
+func BenchmarkFollow(b *testing.B) {
+	for _, n := range []int{100, 1000, 5400} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			d := &shdirectory.Directory{Source: shdirectory.Source{VM: "control"}}
+			for i := range n {
+				d.Receive(start, designVM(i, n))
+			}
+			whole := d.Changes(start, shdirectory.Source{}, 0)
+			f := new(shdirectory.Follower)
+			f.Apply(start, whole)
+			same := d.Changes(start, whole.Source, whole.Version)
+			cpu := shusage.CPU()
+			for b.Loop() {
+				f.Apply(start, same)
+				f.Entries()
+			}
+			b.ReportMetric(float64((shusage.CPU()-cpu).Microseconds())/float64(b.N), "cpu-µs/op")
+		})
+	}
+}
