--- a/internal/shbench/measure.go
+++ b/internal/shbench/measure.go
@@ -253,10 +253,10 @@
 		}
 	}
 	proposer := &shview.Proposer{Client: peers, Addresses: control}
-	claim, copied, durable := newSample(), newSample(), newSample()
+	claim, copied, durable, withMe := newSample(), newSample(), newSample(), newSample()
 	var number atomic.Uint64
-	repeat(1, probeTime/3, func(int) { claim.time(func() error { return openClaim(proposer, s.VM, number.Add(1)) }) })
-	copyTo, first, second := d.targets(v)
+	repeat(1, probeTime/4, func(int) { claim.time(func() error { return openClaim(proposer, s.VM, number.Add(1)) }) })
+	t := d.targets(v)
 	appendTo := func(address string, sync bool) error {
 		n := number.Add(1)
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -269,28 +269,42 @@
 		}
 		return err
 	}
-	repeat(1, probeTime/3, func(int) { copied.time(func() error { return appendTo(copyTo, false) }) })
-	repeat(1, probeTime/3, func(int) {
-		durable.time(func() error {
-			done := make(chan error, 1)
-			go func() { done <- appendTo(second, true) }()
-			return errors.Join(appendTo(first, true), <-done)
-		})
-	})
+	both := func(pair [2]string) error {
+		done := make(chan error, 1)
+		go func() { done <- appendTo(pair[1], true) }()
+		return errors.Join(appendTo(pair[0], true), <-done)
+	}
+	repeat(1, probeTime/4, func(int) { copied.time(func() error { return appendTo(t.copied, false) }) })
+	repeat(1, probeTime/4, func(int) { durable.time(func() error { return both(t.others) }) })
+	repeat(1, probeTime/4, func(int) { withMe.time(func() error { return both(t.withMe) }) })
 	claim.row("claim alone", base)
 	copied.row("account copy alone", base)
 	durable.row("synced account record alone", base)
+	withMe.row("the same with the own disk", base)
+}
+
+// targets are the VMs that take records of a VM: for a copy the nearest VM in
+// another failure domain, and for synced records the nearest two account VMs in
+// different failure domains, with and without the own disk. The daemon uses no
+// own disk: it leaves shreplication.Config.UseSelf unset.
+type targets struct {
+	copied         string
+	others, withMe [2]string
+}
+
+func (d *deployment) targets(v *vm) targets {
+	var t targets
+	t.copied, _ = d.nearest(v, func(x *vm) bool { return x.settings.Place() != v.settings.Place() })
+	t.others = d.pair(v, func(x *vm) bool { return x != v && x.settings.Has(shsettings.Account) })
+	t.withMe = d.pair(v, func(x *vm) bool { return x.settings.Has(shsettings.Account) })
+	return t
 }
 
-// targets returns the VMs that the outbox of a VM prefers: for a copy the
-// nearest VM in another failure domain, and for synced records the nearest two
-// account VMs in different failure domains, which may include the VM itself.
-func (d *deployment) targets(v *vm) (copied, first, second string) {
-	copied, _ = d.nearest(v, func(x *vm) bool { return x.settings.Place() != v.settings.Place() })
-	disk := func(x *vm) bool { return x.settings.Has(shsettings.Account) }
-	first, place := d.nearest(v, disk)
-	second, _ = d.nearest(v, func(x *vm) bool { return disk(x) && x.settings.Place() != place })
-	return copied, first, second
+// pair returns the nearest two VMs that fit, in different failure domains.
+func (d *deployment) pair(v *vm, fits func(*vm) bool) [2]string {
+	first, place := d.nearest(v, fits)
+	second, _ := d.nearest(v, func(x *vm) bool { return fits(x) && x.settings.Place() != place })
+	return [2]string{first, second}
 }
 
 // nearest returns the peer address and place of the nearest VM that fits.
