--- a/transport/shview/syncer.go
+++ b/transport/shview/syncer.go
@@ -48,8 +48,10 @@
 	unconfirmed bool
 	sequence    uint64
 	follower    shdirectory.Follower
-	// current is owned by Run.
-	current View
+	// current is owned by Run, and so is accepted, the configuration as operators
+	// gave it. Compiled has default limits filled in, which a patch must not see.
+	current  View
+	accepted shconfig.Config
 	// askWhole asks for the whole configuration in place of a change.
 	askWhole bool
 }
@@ -209,7 +211,7 @@
 		s.askWhole = true
 		return
 	}
-	config, err := c.Apply(v.Config.Config)
+	config, err := c.Apply(s.accepted)
 	if err != nil {
 		s.Log.Error("change of the configuration could not be applied; asking for the whole configuration", "revision", c.To, "error", err)
 		s.askWhole = true
@@ -226,6 +228,7 @@
 	}
 	v.Revision = revision
 	v.Config = compiled
+	s.accepted = c
 	s.askWhole = false
 	s.Log.Info("configuration in force", "revision", revision)
 }
--- a/transport/shview/syncer_test.go
+++ b/transport/shview/syncer_test.go
@@ -1,9 +1,13 @@
 package shview
 
 import (
+	"log/slog"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/state/shconfig"
 )
 
 // beat sends n heartbeats; up lists the control VMs that answer, and quorum
@@ -50,3 +54,31 @@
 		assert.Assert(t, asked[0] >= 15, "asked %v", asked)
 	})
 }
+
+// Guards against daemons with different limits: a change of the objective must
+// select the same defaults as the whole configuration does after a restart.
+func TestChangeKeepsDefaultsOut(t *testing.T) {
+	folder, err := shconfig.Load("../../examples/huon-ridge/config")
+	assert.NilError(t, err)
+	s := &Syncer{Log: slog.New(slog.DiscardHandler)}
+	var v View
+	s.install(&v, 1, folder.Config)
+	assert.Equal(t, v.Config.Config.Limits.ReserveShare, shconfig.DefaultReserveShareHeadroom)
+	s.change(&v, shcontrol.Change{From: 1, To: 2, Patch: []byte(`{"objective":"latency"}`)})
+	assert.Equal(t, v.Revision, uint64(2))
+	assert.Equal(t, v.Config.Config.Limits.ReserveShare, shconfig.DefaultReserveShareLatency)
+}
+
+// Guards against a configuration that reverts when a control VM is behind.
+func TestRevisionOnlyRises(t *testing.T) {
+	folder, err := shconfig.Load("../../examples/huon-ridge/config")
+	assert.NilError(t, err)
+	s := &Syncer{Log: slog.New(slog.DiscardHandler)}
+	var v View
+	s.install(&v, 5, folder.Config)
+	older := folder.Config
+	older.Objective = shconfig.Latency
+	s.change(&v, shcontrol.Change{To: 4, Config: &older})
+	assert.Equal(t, v.Revision, uint64(5))
+	assert.Equal(t, v.Config.Config.Objective, shconfig.Headroom)
+}
