--- a/transport/shentry/caller_test.go
+++ b/transport/shentry/caller_test.go
@@ -95,6 +95,7 @@
 		{"timeout zero", testService, "/x", "", timeout("0"), 400, "malformed timeout"},
 		{"timeout negative", testService, "/x", "", timeout("-5"), 400, "malformed timeout"},
 		{"timeout no number", testService, "/x", "", timeout("5s"), 400, "malformed timeout"},
+		{"no backend server", "empty", "/x", "", nil, 503, "no-capacity"},
 		{"timeout shorter than a run", testService, "/x", "", timeout("1"), 503, "no-capacity"},
 		{"longest body", testService, "/x", strings.Repeat("x", 1000), nil, 200, ""},
 		{"body too large", testService, "/x", strings.Repeat("x", 1001), nil, 413, "body too large"},
@@ -113,6 +114,11 @@
 			d.checkAccount(t, a, "refused:not-run:"+c.reason)
 		})
 	}
+	t.Run("HEAD does not state an empty body", func(t *testing.T) {
+		a := v.call(t, testService, http.MethodHead, "/x", "")
+		assert.Equal(t, a.outcome(), "answered")
+		assert.Assert(t, a.header.Get("Content-Length") != "0")
+	})
 	t.Run("body cut off", func(t *testing.T) {
 		c, err := net.Dial("tcp", v.heartbeat.CallerAddress)
 		assert.NilError(t, err)
