--- a/transport/shdaemon/faults_test.go
+++ b/transport/shdaemon/faults_test.go
@@ -16,6 +16,7 @@
 
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shconfig"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shbackend"
 	"sequoiahollow/transport/shcaller"
@@ -28,7 +29,9 @@
 	d := deploy(t, false)
 	operators := []*vm{d.vms["south-a-2"], d.vms["victoria-b-1"]}
 	edit := func(id string, base uint64) shcontrol.ApplyConfig {
+		// A small configuration, since every edit is checked by every VM.
 		c := d.config
+		c.Services = map[shmodel.Service]shconfig.Service{records: d.config.Services[records]}
 		c.Limits.ClaimHours = 1 + int(base)%30
 		return shcontrol.ApplyConfig{EditID: id, BaseRevision: base, Config: c}
 	}
