--- a/transport/shreplica/replica.go
+++ b/transport/shreplica/replica.go
@@ -69,6 +69,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	r.group.Go(func() { r.expireGrants(ctx) })
+	r.group.Go(func() { r.expireEntries(ctx) })
 	for _, address := range c.Others {
 		r.group.Go(func() { r.followNews(ctx, address) })
 	}
@@ -180,7 +181,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.directory.Receive(now, q.Heartbeat)
-	r.directory.Expire(now)
 	a.Directory = r.directory.Changes(now, q.Source, q.Version)
 	if c, ok := r.state.Changes(q.Since); ok {
 		a.Change = &c
@@ -225,6 +225,16 @@
 	})
 }
 
+// expireEntries takes VMs without news off the directory. The search reads the
+// whole directory, so it is not part of each heartbeat.
+func (r *Replica) expireEntries(ctx context.Context) {
+	every(ctx, expireInterval, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.directory.Expire(time.Now())
+	})
+}
+
 // expireGrants proposes the expiry of grants while this VM leads.
 func (r *Replica) expireGrants(ctx context.Context) {
 	var expirer shcontrol.GrantExpirer
@@ -250,7 +260,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	if _, err := r.store.Propose(ctx, data); err != nil {
+	_, err = r.store.Propose(ctx, data)
+	if shstore.KindOf(err) == shstore.KindNotLeader {
+		// The new leader expires the grant.
+		return
+	}
+	if err != nil {
 		r.config.Log.Warn("grant expiry was not committed; it will be proposed again", "grant", e.ID, "error", err)
 	}
 }
