--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -43,6 +43,8 @@
 	mu        sync.Mutex
 	ended     bool
 	slots     map[shslot.ReservationID]*Slot
+	// solo says that a backend server may be marked for a solo run.
+	solo bool
 	// report receives the one Execution.
 	report func(shrequest.Execution)
 	// stream passes on an answer that is longer than the buffer.
@@ -96,6 +98,7 @@
 		Deadline: x.request.Deadline, Credit: w.Credit, Exclude: w.Exclude, NoWait: x.forwarded,
 	}
 	if w.Class == shslot.Solo {
+		x.solo = true
 		l := x.entry.Slots.ReserveSolo(want, func() { x.mailbox.post(shrequest.SoloReady{}) })
 		go x.reserved(l)
 		return
@@ -160,6 +163,9 @@
 	for _, l := range left {
 		l.Release(shslot.Abandoned, nil)
 	}
+	if x.solo {
+		x.entry.Slots.CancelSolo(x.request.ID)
+	}
 }
 
 // dispatch sends the attempt to the backend server.
