Count requests by outcome and watch control traffic

The reserve of a link for control messages is not enforced, so a VM that exceeds it alone logs it. The account can be exported by service and by time, so that each request falls into exactly one period.

--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -14,12 +14,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shdirectory"
 	"sequoiahollow/coordination/shreplication"
 	"sequoiahollow/coordination/shrouting"
 	"sequoiahollow/coordination/shslot"
 	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shaccount"
 	"sequoiahollow/transport/shentry"
@@ -54,6 +58,8 @@
 	incarnation uint64
 	leaving     atomic.Bool
 	lock        *os.File
+	metrics     *metrics.Set
+	control     controlTraffic
 
 	traffic  *shpeer.Traffic
 	client   *shpeer.Client
@@ -159,6 +165,8 @@
 func (d *daemon) openEntry() {
 	s := d.settings
 	d.burn = newBurnRecorder(s)
+	d.metrics = metrics.NewSet()
+	d.control = controlTraffic{region: s.Region, log: d.log}
 	address := peerAddresses(s, func() []shdirectory.Heartbeat { return d.syncer.View().Entries })
 	d.outbox = shaccount.NewOutbox(replicator{client: d.client, address: address}, shaccount.OutboxOptions{
 		// The own disk counts when too few others can be reached, so that a region
@@ -170,7 +178,7 @@
 	permitted := func() bool { return d.syncer.View().Confirmed(time.Now()) }
 	d.entry = &shentry.Entry{
 		VM: s.VM, Place: s.Place(), View: d.syncer.View, Control: d.proposer.Propose,
-		Account: d.outbox, IDs: d.ids, Policy: shrouting.Objectives{}, Observe: d.burn.observe, Log: d.log,
+		Account: d.outbox, IDs: d.ids, Policy: shrouting.Objectives{}, Observe: d.observe, Log: d.log,
 		Slots:   shentry.NewSlots(salt, initialReserve, d.reportCrash),
 		Links:   &shentry.Links{VM: s.VM, Region: s.Region, Propose: d.requestGrant, Permitted: permitted, Log: d.log},
 		Credits: &shentry.Credits{VM: s.VM, Ask: d.askCredit},
@@ -244,6 +252,21 @@
 	}
 }
 
+// observe counts the end of a request. A mistake of the caller does not count
+// against the service level.
+func (d *daemon) observe(r shrecord.Record, linkCap bool) {
+	d.countRequest(r)
+	if !callersMistake(r) {
+		d.burn.observe(r, linkCap)
+	}
+}
+
+// callersMistake reports whether a request was refused for what the caller sent.
+func callersMistake(r shrecord.Record) bool {
+	return r.Outcome == shmodel.NotRun && r.Status >= http.StatusBadRequest && r.Status < http.StatusInternalServerError &&
+		r.Status != http.StatusRequestTimeout && r.Status != http.StatusConflict
+}
+
 // refresh passes changes of the view on.
 func (d *daemon) refresh() {
 	v := d.syncer.View()
--- a/transport/shdaemon/deployment_test.go
+++ b/transport/shdaemon/deployment_test.go
@@ -25,6 +25,7 @@
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/state/shconfig"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shbackend"
 	"sequoiahollow/transport/shcaller"
@@ -408,7 +409,7 @@
 	var b bytes.Buffer
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	err := d.operator(d.leader("")).AccountExport(ctx, &b)
+	err := d.operator(d.leader("")).AccountExport(ctx, shrecord.Filter{}, &b)
 	return &b, err
 }
 
--- a/transport/shdaemon/metrics.go
+++ b/transport/shdaemon/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sequoiahollow/coordination/shraft"
+	"sequoiahollow/state/shrecord"
 )
 
 // metricsInterval is the time between updates of gauges with labels.
@@ -44,14 +45,18 @@
 	for region, rate := range d.entry.Links.BitsPerSecond() {
 		set.GetOrCreateGauge(`sequoiahollow_link_grant_bits_per_second{to="`+string(region)+`"}`, nil).Set(float64(rate))
 	}
-	for address, bytes := range d.traffic.Snapshot() {
-		labels := `{peer="` + address + `"}`
-		set.GetOrCreateGauge("sequoiahollow_peer_sent_bytes"+labels, nil).Set(float64(bytes.Sent))
-		set.GetOrCreateGauge("sequoiahollow_peer_received_bytes"+labels, nil).Set(float64(bytes.Received))
-	}
+	d.writeTrafficMetrics(set)
 	d.writeBurnMetrics(set)
 }
 
+// countRequest counts the end of a request by outcome and reason.
+func (d *daemon) countRequest(r shrecord.Record) {
+	labels := `{service="` + string(r.Service) + `",outcome="` + string(r.Outcome) + `",reason="` + r.Reason + `"}`
+	d.metrics.GetOrCreateCounter("sequoiahollow_requests_total" + labels).Inc()
+	seconds := float64(r.DurationUS) / 1e6
+	d.metrics.GetOrCreateHistogram(`sequoiahollow_request_seconds{service="` + string(r.Service) + `"}`).Update(seconds)
+}
+
 func boolValue(b bool) float64 {
 	if b {
 		return 1
--- a/transport/shdaemon/operations.go
+++ b/transport/shdaemon/operations.go
@@ -10,8 +10,6 @@
 	"slices"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shdirectory"
 	"sequoiahollow/protocol/shwire"
@@ -35,9 +33,8 @@
 	if err != nil {
 		return nil, err
 	}
-	set := metrics.NewSet()
-	d.registerMetrics(ctx, set)
-	s := &shoperator.Server{Backend: operations{d}, Token: token, Metrics: set, Healthy: d.healthy, Logger: d.log}
+	d.registerMetrics(ctx, d.metrics)
+	s := &shoperator.Server{Backend: operations{d}, Token: token, Metrics: d.metrics, Healthy: d.healthy, Logger: d.log}
 	return s.Handler(), nil
 }
 
@@ -153,13 +150,13 @@
 }
 
 // AccountExport implements shoperator.Backend.
-func (o operations) AccountExport(ctx context.Context, w io.Writer) error {
+func (o operations) AccountExport(ctx context.Context, f shrecord.Filter, w io.Writer) error {
 	lines, _, err := o.accountLines(ctx)
 	if err != nil {
 		return err
 	}
 	encoder := json.NewEncoder(w)
-	for line, err := range lines {
+	for line, err := range f.Select(lines) {
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/transport/shdaemon/traffic.go
@@ -0,0 +1,94 @@
+package shdaemon
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shpeer"
+	"sequoiahollow/transport/shview"
+)
+
+// warnInterval bounds how often an exceeded reserve is logged.
+const warnInterval = time.Minute
+
+// controlTraffic watches the control and account messages that this VM sends to
+// other regions. They are not paced, so a reserve of a link that is too small
+// shows here: the reserve is for all VMs of the region together.
+type controlTraffic struct {
+	region shmodel.Region
+	log    *slog.Logger
+
+	at     time.Time
+	sent   map[string]uint64
+	warned map[shmodel.Region]time.Time
+}
+
+// update takes the counts per peer address and returns the rate to each other
+// region since the last update, in bits per second.
+func (t *controlTraffic) update(now time.Time, counts map[string]shpeer.Bytes, regionOf func(string) shmodel.Region) map[shmodel.Region]float64 {
+	rates := map[shmodel.Region]float64{}
+	seconds := now.Sub(t.at).Seconds()
+	sent := make(map[string]uint64, len(counts))
+	for address, bytes := range counts {
+		sent[address] = bytes.Sent
+		region := regionOf(address)
+		if region == "" || region == t.region || t.sent == nil || seconds <= 0 {
+			continue
+		}
+		rates[region] += float64(bytes.Sent-min(t.sent[address], bytes.Sent)) * 8 / seconds
+	}
+	t.at = now
+	t.sent = sent
+	return rates
+}
+
+// check logs the links whose reserve this VM alone exceeds.
+func (t *controlTraffic) check(now time.Time, rates map[shmodel.Region]float64, links map[string]shconfig.Link) {
+	for _, l := range links {
+		rate := rates[l.To]
+		if l.From != t.region || rate <= float64(l.ControlBitsPerSecond) || now.Sub(t.warned[l.To]) < warnInterval {
+			continue
+		}
+		if t.warned == nil {
+			t.warned = map[shmodel.Region]time.Time{}
+		}
+		t.warned[l.To] = now
+		t.log.Warn("control and account messages exceed the reserve of the link",
+			"to", l.To, "bitsPerSecond", int64(rate), "controlBitsPerSecond", l.ControlBitsPerSecond)
+	}
+}
+
+// writeTrafficMetrics updates the gauges of control traffic.
+func (d *daemon) writeTrafficMetrics(set *metrics.Set) {
+	now := time.Now()
+	counts := d.traffic.Snapshot()
+	for address, bytes := range counts {
+		labels := `{peer="` + address + `"}`
+		set.GetOrCreateGauge("sequoiahollow_peer_sent_bytes"+labels, nil).Set(float64(bytes.Sent))
+		set.GetOrCreateGauge("sequoiahollow_peer_received_bytes"+labels, nil).Set(float64(bytes.Received))
+	}
+	v := d.syncer.View()
+	rates := d.control.update(now, counts, d.regionOf(v))
+	for region, rate := range rates {
+		set.GetOrCreateGauge(`sequoiahollow_link_control_bits_per_second{to="`+string(region)+`"}`, nil).Set(rate)
+	}
+	if v.Ready() {
+		d.control.check(now, rates, v.Config.Config.Links)
+	}
+}
+
+// regionOf returns a look-up from peer address to region.
+func (d *daemon) regionOf(v *shview.View) func(string) shmodel.Region {
+	regions := map[string]shmodel.Region{}
+	for _, p := range d.settings.Peers {
+		regions[p.PeerAddress] = p.Region
+	}
+	for _, h := range v.Entries {
+		regions[h.PeerAddress] = h.Place.Region
+	}
+	return func(address string) shmodel.Region { return regions[address] }
+}
--- a/transport/shentry/caller.go
+++ b/transport/shentry/caller.go
@@ -193,7 +193,7 @@
 	if len(record.Key) > maxKeyBytes {
 		record.Key = record.Key[:maxKeyBytes]
 	}
-	// A mistake of the caller does not count against the service level.
 	_ = e.append(record, shaccount.Copied)
+	e.Observe(record, false)
 	WriteProblem(w, problemOf(x.status, x.reason, x.detail, q.ID, shmodel.NotRun), 0)
 }
--- a/transport/shentry/receiver.go
+++ b/transport/shentry/receiver.go
@@ -134,19 +134,11 @@
 		if r.AnswerBytes == 0 {
 			r.AnswerBytes = c.answerBytes
 		}
-		if !callersMistake(*r) {
-			c.entry.Observe(*r, c.linkCap.Load())
-		}
+		c.entry.Observe(*r, c.linkCap.Load())
 	}
 	return w
 }
 
-// callersMistake reports whether a request was refused for what the caller
-// sent, which does not count against the service level.
-func callersMistake(r shrecord.Record) bool {
-	return r.Outcome == shmodel.NotRun && shrequest.Reason(r.Reason) == shrequest.ReasonKeyConflict
-}
-
 // execute starts an Executor on this VM.
 func (c *reception) execute(f shrequest.Execute) {
 	class := shslot.Local
--- a/transport/shoperator/backend.go
+++ b/transport/shoperator/backend.go
@@ -12,7 +12,7 @@
 //	GET  /v1/status          Status
 //	POST /v1/drain           Target, answers shcontrol.DrainResult
 //	POST /v1/undrain         Target, answers shcontrol.DrainResult
-//	GET  /v1/account/export  one shrecord.Line a line
+//	GET  /v1/account/export  one shrecord.Line a line; ?service=S&since=T&until=T
 //	GET  /v1/account/verify  Verification
 //	GET  /v1/report/burn     shburn.Report
 //	GET  /metrics            Prometheus text, without token
@@ -31,6 +31,7 @@
 	"sequoiahollow/state/shburn"
 	"sequoiahollow/state/shconfig"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
 	"sequoiahollow/state/shsettings"
 )
 
@@ -49,7 +50,7 @@
 	Drain(ctx context.Context, target Target) (shcontrol.DrainResult, error)
 	Undrain(ctx context.Context, target Target) (shcontrol.DrainResult, error)
 	// AccountExport writes one shrecord.Line as JSON per line.
-	AccountExport(ctx context.Context, w io.Writer) error
+	AccountExport(ctx context.Context, f shrecord.Filter, w io.Writer) error
 	AccountVerify(ctx context.Context) (Verification, error)
 	BurnReport(ctx context.Context) (shburn.Report, error)
 }
--- a/transport/shoperator/client.go
+++ b/transport/shoperator/client.go
@@ -17,6 +17,7 @@
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shburn"
 	"sequoiahollow/state/shconfig"
+	"sequoiahollow/state/shrecord"
 )
 
 // maxAnswerBytes bounds an answer other than an export. A history at its
@@ -133,10 +134,10 @@
 	return call[shburn.Report](ctx, c, "GET", "/v1/report/burn", nil)
 }
 
-// AccountExport copies the account to w, one record a line. An export that
+// AccountExport copies the selected lines of the account to w. An export that
 // broke off is an error, with part of the records written.
-func (c *Client) AccountExport(ctx context.Context, w io.Writer) error {
-	response, err := c.send(ctx, "GET", "/v1/account/export", nil)
+func (c *Client) AccountExport(ctx context.Context, f shrecord.Filter, w io.Writer) error {
+	response, err := c.send(ctx, "GET", "/v1/account/export"+queryOf(f), nil)
 	if err != nil {
 		return err
 	}
--- a/transport/shoperator/handlers.go
+++ b/transport/shoperator/handlers.go
@@ -6,12 +6,15 @@
 	"io"
 	"mime"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/state/shconfig"
 	"sequoiahollow/state/shdocument"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
 )
 
 // mediaTypeJSON and mediaTypeLines are the media types of bodies.
@@ -206,8 +209,12 @@
 }
 
 func (s *Server) accountExport(w http.ResponseWriter, r *http.Request) error {
+	filter, err := filterOf(r.URL.Query())
+	if err != nil {
+		return fail(KindInvalid, err)
+	}
 	e := &exportWriter{w: w, controller: http.NewResponseController(w)}
-	err := s.Backend.AccountExport(r.Context(), e)
+	err = s.Backend.AccountExport(r.Context(), filter, e)
 	if err != nil && !e.started {
 		return err
 	}
@@ -221,6 +228,53 @@
 	return nil
 }
 
+// Parameters of an export. Times are RFC 3339.
+const (
+	parameterService = "service"
+	parameterSince   = "since"
+	parameterUntil   = "until"
+)
+
+// filterOf reads the parameters of an export.
+func filterOf(q url.Values) (shrecord.Filter, error) {
+	f := shrecord.Filter{Service: shmodel.Service(q.Get(parameterService))}
+	for name := range q {
+		if name != parameterService && name != parameterSince && name != parameterUntil {
+			return f, fmt.Errorf("unknown parameter %q", name)
+		}
+	}
+	for name, field := range map[string]*time.Time{parameterSince: &f.Since, parameterUntil: &f.Until} {
+		text := q.Get(name)
+		if text == "" {
+			continue
+		}
+		at, err := time.Parse(time.RFC3339, text)
+		if err != nil {
+			return f, fmt.Errorf("parameter %s: %w", name, err)
+		}
+		*field = at
+	}
+	return f, nil
+}
+
+// queryOf is the reverse of filterOf.
+func queryOf(f shrecord.Filter) string {
+	q := url.Values{}
+	if f.Service != "" {
+		q.Set(parameterService, string(f.Service))
+	}
+	if !f.Since.IsZero() {
+		q.Set(parameterSince, f.Since.Format(time.RFC3339Nano))
+	}
+	if !f.Until.IsZero() {
+		q.Set(parameterUntil, f.Until.Format(time.RFC3339Nano))
+	}
+	if len(q) == 0 {
+		return ""
+	}
+	return "?" + q.Encode()
+}
+
 // exportWriter sends the header with the first byte and renews the write
 // deadline, so that only a client that stops reading is cut off.
 type exportWriter struct {
--- a/transport/shoperator/server_test.go
+++ b/transport/shoperator/server_test.go
@@ -19,6 +19,7 @@
 	"sequoiahollow/state/shburn"
 	"sequoiahollow/state/shconfig"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
 	"sequoiahollow/transport/shoperator"
 )
 
@@ -92,7 +93,7 @@
 	return shcontrol.DrainResult{}, f.fail
 }
 
-func (f *fake) AccountExport(_ context.Context, w io.Writer) error {
+func (f *fake) AccountExport(_ context.Context, _ shrecord.Filter, w io.Writer) error {
 	_, err := io.WriteString(w, f.export)
 	return errors.Join(err, f.fail)
 }
@@ -258,7 +259,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(report.Services), 1)
 	var export strings.Builder
-	assert.NilError(t, c.AccountExport(ctx, &export))
+	assert.NilError(t, c.AccountExport(ctx, shrecord.Filter{}, &export))
 	assert.Equal(t, export.String(), f.export)
 }
 
@@ -267,9 +268,9 @@
 	failure := errors.New("disk")
 	// More than the buffers hold, so that the client sees the begin.
 	long := strings.Repeat("{}\n", 1<<18)
-	err := start(t, &fake{export: long, fail: failure}).AccountExport(t.Context(), io.Discard)
+	err := start(t, &fake{export: long, fail: failure}).AccountExport(t.Context(), shrecord.Filter{}, io.Discard)
 	assert.ErrorContains(t, err, "broke off")
-	err = start(t, &fake{export: "", fail: failure}).AccountExport(t.Context(), io.Discard)
+	err = start(t, &fake{export: "", fail: failure}).AccountExport(t.Context(), shrecord.Filter{}, io.Discard)
 	assert.Equal(t, kindOf(t, err), shoperator.KindInternal)
 }
 
