Make the run of a table of refusals longer than its shortest timeout

On a busy machine the measured run was shorter than the timeout of 1 ms, and the request was sent and refused as past its deadline in place of being refused at once. Both are not-run; the test now has one outcome.

--- a/transport/shentry/caller_test.go
+++ b/transport/shentry/caller_test.go
@@ -68,7 +68,9 @@
 func TestAdmission(t *testing.T) {
 	d := newDeployment(t)
 	v := d.start(t, "vm-1", "south")
-	v.serve(t, testService, nil, "b1")
+	// A run takes longer than the shortest timeout of the table by far.
+	slow := func(c *shbackend.Config) { c.ServiceTime = 30 * time.Millisecond }
+	v.serve(t, testService, slow, "b1")
 	v.serve(t, testOnceOnly, nil, "b2")
 	const answered = "opened attempted:answered closed:answered"
 	timeout := func(text string) []string { return []string{shwire.HeaderTimeout, text} }
