--- a/protocol/shwire/peer.go
+++ b/protocol/shwire/peer.go
@@ -87,12 +87,12 @@
 	// ConfirmedAge is the time since the control VM knew that its state was
 	// confirmed by a quorum. It is negative if that never was the case.
 	ConfirmedAge time.Duration `json:"confirmedAge"`
-	// Owed lists claims whose attempt may need settlement.
-	Owed []OwedClaim `json:"owed,omitempty"`
+	// Overdue lists claims whose attempt may need settlement.
+	Overdue []OverdueClaim `json:"overdue,omitempty"`
 }
 
-// OwedClaim is a claim in progress whose dispatch deadline has passed.
-type OwedClaim struct {
+// OverdueClaim is a claim in progress whose dispatch deadline has passed.
+type OverdueClaim struct {
 	Key   shmodel.ClaimKey      `json:"key"`
 	Claim shcontrol.ClaimResult `json:"claim"`
 }
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -206,7 +206,7 @@
 	go d.entry.Slots.Run(ctx)
 	go d.entry.Links.Run(ctx)
 	go every(ctx, reportInterval, func() { d.reportSlots(ctx) })
-	go d.settleOwed(ctx)
+	go d.settleOverdue(ctx)
 	go d.adoptRecords(ctx)
 	d.http.init()
 	operator, err := d.operatorHandler(ctx)
--- a/transport/shdaemon/owed.go
+++ b/transport/shdaemon/overdue.go
@@ -16,17 +16,17 @@
 	longRunning = time.Minute
 )
 
-// settleOwed resolves claims whose executing VM is gone. One VM takes each, the
+// settleOverdue resolves claims whose executing VM is gone. One VM takes each, the
 // first by name that is up, so that backend servers see few cancellations.
-func (d *daemon) settleOwed(ctx context.Context) {
+func (d *daemon) settleOverdue(ctx context.Context) {
 	every(ctx, settleInterval, func() {
 		v := d.syncer.View()
 		if !v.Confirmed(time.Now()) || !first(d.settings.VM, v.Entries) {
 			return
 		}
-		for _, o := range v.Owed {
+		for _, o := range v.Overdue {
 			if abandoned(o, v.Entries) {
-				d.entry.SettleOwed(ctx, o)
+				d.entry.SettleOverdue(ctx, o)
 			}
 		}
 	})
@@ -43,7 +43,7 @@
 }
 
 // abandoned reports whether the VM that executes a claim is gone.
-func abandoned(o shwire.OwedClaim, entries []shdirectory.Heartbeat) bool {
+func abandoned(o shwire.OverdueClaim, entries []shdirectory.Heartbeat) bool {
 	for _, h := range entries {
 		if h.VM == o.Claim.Attempt.VM {
 			return time.Since(o.Claim.Attempt.DispatchBy) > longRunning
--- a/transport/shentry/settle.go
+++ b/transport/shentry/settle.go
@@ -17,10 +17,10 @@
 // server before its outcome is recorded as unknown.
 const abandonedAfter = 30 * time.Second
 
-// SettleOwed resolves a claim whose executing VM is gone: it cancels the
+// SettleOverdue resolves a claim whose executing VM is gone: it cancels the
 // attempt at the recorded backend server and records what that answers. It is
 // idempotent, so more than one VM may do it.
-func (e *Entry) SettleOwed(ctx context.Context, o shwire.OwedClaim) {
+func (e *Entry) SettleOverdue(ctx context.Context, o shwire.OverdueClaim) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	a := o.Claim.Attempt
--- a/transport/shreplica/replica.go
+++ b/transport/shreplica/replica.go
@@ -28,8 +28,8 @@
 	newsInterval   = 250 * time.Millisecond
 	newsTimeout    = 400 * time.Millisecond
 	expireInterval = 100 * time.Millisecond
-	// owedLimit bounds the claims that one heartbeat answer lists.
-	owedLimit = 64
+	// overdueLimit bounds the claims that one heartbeat answer lists.
+	overdueLimit = 64
 )
 
 // Config configures a Replica.
@@ -187,8 +187,8 @@
 	}
 	a.Suspects = r.state.Suspects()
 	a.Drains = r.state.Drains()
-	for key, claim := range r.state.Overdue(now, owedLimit) {
-		a.Owed = append(a.Owed, shwire.OwedClaim{Key: key, Claim: claim})
+	for key, claim := range r.state.Overdue(now, overdueLimit) {
+		a.Overdue = append(a.Overdue, shwire.OverdueClaim{Key: key, Claim: claim})
 	}
 	return a, nil
 }
--- a/transport/shview/syncer.go
+++ b/transport/shview/syncer.go
@@ -179,7 +179,7 @@
 	if !unconfirmed(r.ConfirmedAge) {
 		next.Suspects = suspects(r.Suspects)
 		next.Drains = r.Drains
-		next.Owed = r.Owed
+		next.Overdue = r.Overdue
 		next.Confirm(asked.Add(-r.ConfirmedAge))
 	}
 	s.current = next
--- a/transport/shview/view.go
+++ b/transport/shview/view.go
@@ -59,7 +59,7 @@
 	Entries   []shdirectory.Heartbeat
 	Suspects  map[shmodel.Digest]shcontrol.SuspectStatus
 	Drains    shcontrol.Drains
-	Owed      []shwire.OwedClaim
+	Overdue   []shwire.OverdueClaim
 	confirmed time.Time
 }
 
