--- a/internal/shmeasure/deployment.go
+++ b/internal/shmeasure/deployment.go
@@ -76,6 +76,9 @@
 	load       float64
 	loseVM     bool
 	loseRegion bool
+	// rolling kills and restarts the entry VMs one after the other. A planned
+	// stop, which hands the backend servers over, would cost less.
+	rolling bool
 	// linkShare is the free share of each link.
 	linkShare float64
 	// reportDelay is added to the age of reports.
@@ -95,5 +98,6 @@
 	{name: "region lost and back cold", load: normalLoad, linkShare: 1, loseRegion: true},
 	{name: "link at its cap", load: 1.5 * normalLoad, linkShare: 0.001},
 	{name: "reports 10 s old", load: normalLoad, linkShare: 1, reportDelay: 10 * time.Second},
+	{name: "rolling restart", load: normalLoad, linkShare: 1, rolling: true},
 	{name: "reports claim idle", load: 1.5 * normalLoad, linkShare: 1, claimIdle: true},
 }
--- a/internal/shmeasure/main.go
+++ b/internal/shmeasure/main.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -90,7 +91,11 @@
 func main() {
 	seed := flag.Int64("seed", 1, "seed of the random numbers")
 	commit := flag.String("commit", "unknown", "commit that is measured, for the heading")
+	only := flag.String("scenario", "", "name of the only scenario to run")
 	flag.Parse()
+	if *only != "" {
+		scenarios = slices.DeleteFunc(scenarios, func(s scenario) bool { return s.name != *only })
+	}
 	fmt.Printf("Commit %s, seed %d, %v after %v of warm-up per row.\n", *commit, *seed, runFor-warmUp, warmUp)
 	for _, d := range deployments {
 		if err := measure(d, *seed); err != nil {
--- a/internal/shmeasure/world.go
+++ b/internal/shmeasure/world.go
@@ -25,7 +25,11 @@
 	// callerRetry is how long a caller takes to turn to another entry VM.
 	callerRetry = 300 * time.Millisecond
 	coldFor     = 10 * time.Second
-	coldFactor  = 4
+	// rollingInterval is the time between two restarts, and rollingDown how long
+	// a VM is down.
+	rollingInterval = 2300 * time.Millisecond
+	rollingDown     = time.Second
+	coldFactor      = 4
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -171,6 +175,13 @@
 	if w.loseVM {
 		w.vms[0].fail()
 	}
+	if w.rolling {
+		for i, v := range w.vms {
+			begin := time.Duration(i) * rollingInterval
+			w.after(begin, v.fail)
+			w.after(begin+rollingDown, v.restart)
+		}
+	}
 	if !w.loseRegion {
 		return
 	}
--- a/transport/shentry/choose.go
+++ b/transport/shentry/choose.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// expectedAnswerBytes stands for the answer of a shifted request before any
-	// was measured.
+	// expectedAnswerBytes stands for the size of an answer, which is not known
+	// when a request is shifted.
 	expectedAnswerBytes = 16 << 10
 	// askedOwners is the number of owners in other regions that are asked for
 	// credits at a time.
