--- a/transport/shview/syncer.go
+++ b/transport/shview/syncer.go
@@ -168,9 +168,10 @@
 func unconfirmed(age time.Duration) bool { return age < 0 || age >= ConfirmedFor }
 
 func (s *Syncer) apply(ctx context.Context, asked time.Time, r shwire.SyncResponse) {
-	s.follower.Apply(asked, r.Directory)
 	next := s.current
-	next.Entries = s.follower.Entries()
+	if s.follower.Apply(asked, r.Directory) && changes(r.Directory) {
+		next.Entries = s.follower.Entries()
+	}
 	if !next.Ready() {
 		s.readFirst(ctx, &next)
 	} else if r.Change != nil {
@@ -186,6 +187,11 @@
 	s.view.Store(&next)
 }
 
+// changes reports whether a delta changes the list of entry VMs.
+func changes(d shdirectory.Delta) bool {
+	return d.Whole || len(d.Present) > 0 || len(d.Removed) > 0
+}
+
 // readFirst takes the first configuration from the leader: any other control
 // VM could be behind what this VM had in force before it restarted.
 func (s *Syncer) readFirst(ctx context.Context, v *View) {
