--- a/state/shsettings/settings.go
+++ b/state/shsettings/settings.go
@@ -59,6 +59,9 @@
 	PeerAddress   string                `json:"peerAddress"`
 }
 
+// Has reports whether the VM has a role.
+func (p Peer) Has(r Role) bool { return slices.Contains(p.Roles, r) }
+
 // Place returns the place of the process.
 func (s Settings) Place() shmodel.Place {
 	return shmodel.Place{Region: s.Region, FailureDomain: s.FailureDomain}
--- a/state/shsettings/validate.go
+++ b/state/shsettings/validate.go
@@ -33,10 +33,10 @@
 	voters := 0
 	domains := map[shmodel.Place]bool{}
 	for _, peer := range s.Peers {
-		if slices.Contains(peer.Roles, Control) {
+		if peer.Has(Control) {
 			voters++
 		}
-		if slices.Contains(peer.Roles, Account) {
+		if peer.Has(Account) {
 			domains[shmodel.Place{Region: peer.Region, FailureDomain: peer.FailureDomain}] = true
 		}
 	}
@@ -174,7 +174,7 @@
 		} else {
 			names[peer.VM] = i
 		}
-		if slices.Contains(peer.Roles, Control) {
+		if peer.Has(Control) {
 			voters++
 		}
 	}
@@ -185,7 +185,7 @@
 }
 
 func (v *validator) peerRoles(path string, peer Peer) {
-	if slices.Contains(peer.Roles, Control) || slices.Contains(peer.Roles, Account) {
+	if peer.Has(Control) || peer.Has(Account) {
 		return
 	}
 	if len(peer.Roles) > 0 {
@@ -210,7 +210,7 @@
 	v.same(path+"/failureDomain", string(peer.FailureDomain), string(s.FailureDomain))
 	v.same(path+"/peerAddress", peer.PeerAddress, s.PeerAddress)
 	for _, role := range []Role{Entry, Control, Account} {
-		listed := slices.Contains(peer.Roles, role)
+		listed := peer.Has(role)
 		if role != Entry && listed != s.Has(role) {
 			v.add(path+"/roles", "role %q differs from the roles of this VM", role)
 		}
--- a/transport/shdaemon/account.go
+++ b/transport/shdaemon/account.go
@@ -91,7 +91,7 @@
 	var targets []shreplication.Target
 	listed := map[shmodel.VM]bool{}
 	for _, p := range s.Peers {
-		if !hasRole(p, shsettings.Account) {
+		if !p.Has(shsettings.Account) {
 			continue
 		}
 		place := shmodel.Place{Region: p.Region, FailureDomain: p.FailureDomain}
@@ -115,15 +115,6 @@
 	return time.Duration(v.Config.Config.Regions[region].InnerLatencyMS * float64(time.Millisecond))
 }
 
-func hasRole(p shsettings.Peer, r shsettings.Role) bool {
-	for _, x := range p.Roles {
-		if x == r {
-			return true
-		}
-	}
-	return false
-}
-
 // adoptInterval is the time between looks for records of lost VMs.
 const adoptInterval = 2 * time.Second
 
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -143,7 +143,7 @@
 	var voters []shstore.Peer
 	var others []string
 	for _, p := range s.Peers {
-		if !hasRole(p, shsettings.Control) {
+		if !p.Has(shsettings.Control) {
 			continue
 		}
 		voters = append(voters, shstore.Peer{VM: p.VM, Address: p.PeerAddress})
@@ -343,7 +343,7 @@
 	var near [3][]string
 	for _, p := range s.Peers {
 		switch {
-		case !hasRole(p, shsettings.Control):
+		case !p.Has(shsettings.Control):
 		case p.VM == s.VM:
 			near[0] = append(near[0], p.PeerAddress)
 		case p.Region == s.Region:
--- a/transport/shdaemon/operations.go
+++ b/transport/shdaemon/operations.go
@@ -207,7 +207,7 @@
 	}
 	var sources []iter.Seq2[shrecord.Record, error]
 	for _, p := range o.settings.Peers {
-		if !hasRole(p, shsettings.Account) {
+		if !p.Has(shsettings.Account) {
 			continue
 		}
 		if !o.reachable(ctx, p.PeerAddress) {
