--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -106,8 +106,7 @@
 	go func() {
 		ctx, cancel := context.WithDeadline(ctx, x.request.Deadline)
 		defer cancel()
-		l, _ := x.entry.Slots.Acquire(ctx, want)
-		x.reserved(l)
+		x.reserved(x.entry.Slots.Acquire(ctx, want))
 	}()
 }
 
--- a/transport/shentry/slots.go
+++ b/transport/shentry/slots.go
@@ -185,9 +185,9 @@
 	}
 }
 
-// Acquire waits in the queue of the service until a slot is reserved or the
-// request is refused. It returns nil and the refusal in the second case.
-func (s *Slots) Acquire(ctx context.Context, w Want) (*Slot, *shlimit.Refuse) {
+// Acquire waits in the queue of the service until a slot is reserved. It returns
+// nil if the request is refused.
+func (s *Slots) Acquire(ctx context.Context, w Want) *Slot {
 	if w.Credit != 0 {
 		return s.acquireRemote(w)
 	}
@@ -199,42 +199,50 @@
 	s.resize(now, w.Service, x)
 	s.admit(x, x.admission.Handle(now, shlimit.Arrive{ID: w.RequestID, Kind: w.Kind, Deadline: w.Deadline}))
 	s.mu.Unlock()
-	if w.NoWait {
-		cancelled, cancel := context.WithCancel(ctx)
-		cancel()
-		ctx = cancelled
-	}
 	select {
 	case e := <-decision:
 		return s.start(w, x, e)
 	default:
 	}
-	select {
-	case e := <-decision:
-		return s.start(w, x, e)
-	case <-ctx.Done():
-		return s.abandon(w, x, decision)
+	if !w.NoWait {
+		select {
+		case e := <-decision:
+			return s.start(w, x, e)
+		case <-ctx.Done():
+		}
 	}
+	s.abandon(w, x, decision)
+	return nil
 }
 
-func (s *Slots) start(w Want, x *serviceSlots, e shlimit.Effect) (*Slot, *shlimit.Refuse) {
-	if r, ok := e.(shlimit.Refuse); ok {
-		return nil, &r
+func (s *Slots) start(w Want, x *serviceSlots, e shlimit.Effect) *Slot {
+	if _, refused := e.(shlimit.Refuse); refused {
+		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	r, ok := s.table.Reserve(now, w.forTable(shslot.Local))
-	if !ok {
+	l := s.reserve(now, w, shslot.Local)
+	if l == nil {
 		// The slot went to a solo run, or a backend server left meanwhile.
 		s.finish(now, w.Service, x, w.RequestID)
-		return nil, &shlimit.Refuse{ID: w.RequestID, Reason: shlimit.TooLate}
+		return nil
 	}
-	return &Slot{Reservation: r, slots: s, service: w.Service, request: w.RequestID, queued: true, taken: now}, nil
+	l.queued = true
+	return l
+}
+
+// reserve returns nil if the table has no slot. It is called with the lock.
+func (s *Slots) reserve(now time.Time, w Want, class shslot.Class) *Slot {
+	r, ok := s.table.Reserve(now, w.forTable(class))
+	if !ok {
+		return nil
+	}
+	return &Slot{Reservation: r, slots: s, service: w.Service, request: w.RequestID, taken: now}
 }
 
 // abandon leaves the queue. A start that was decided meanwhile is given back.
-func (s *Slots) abandon(w Want, x *serviceSlots, decision chan shlimit.Effect) (*Slot, *shlimit.Refuse) {
+func (s *Slots) abandon(w Want, x *serviceSlots, decision chan shlimit.Effect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -247,7 +255,6 @@
 		delete(x.waiters, w.RequestID)
 		s.admit(x, x.admission.Handle(now, shlimit.Abandon{ID: w.RequestID}))
 	}
-	return nil, &shlimit.Refuse{ID: w.RequestID, Reason: shlimit.TooLate}
 }
 
 func (s *Slots) finish(now time.Time, name shmodel.Service, x *serviceSlots, id shmodel.RequestID) {
@@ -256,15 +263,10 @@
 	s.resize(now, name, x)
 }
 
-func (s *Slots) acquireRemote(w Want) (*Slot, *shlimit.Refuse) {
+func (s *Slots) acquireRemote(w Want) *Slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	r, ok := s.table.Reserve(now, w.forTable(shslot.Remote))
-	if !ok {
-		return nil, &shlimit.Refuse{ID: w.RequestID, Reason: shlimit.TooLate}
-	}
-	return &Slot{Reservation: r, slots: s, service: w.Service, request: w.RequestID, taken: now}, nil
+	return s.reserve(time.Now(), w, shslot.Remote)
 }
 
 // ReserveSolo takes all slots of an idle backend server. If there is none now,
@@ -272,10 +274,8 @@
 func (s *Slots) ReserveSolo(w Want, ready func()) *Slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	r, ok := s.table.Reserve(now, w.forTable(shslot.Solo))
-	if ok {
-		return &Slot{Reservation: r, slots: s, service: w.Service, request: w.RequestID, taken: now}
+	if l := s.reserve(time.Now(), w, shslot.Solo); l != nil {
+		return l
 	}
 	// The mark may belong to another solo run, whose end is not announced.
 	once := sync.OnceFunc(ready)
