Refresh what depends on the view only when there is a new one

The targets of the account and the service levels were built five times a second from the same view. The channel for failures of listeners is also made before the first listener that may use it.

--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -60,6 +60,8 @@
 	lock        *os.File
 	metrics     *metrics.Set
 	control     controlTraffic
+	// refreshed is the view that refresh passed on last.
+	refreshed *shview.View
 
 	traffic  *shpeer.Traffic
 	client   *shpeer.Client
@@ -191,6 +193,7 @@
 
 // serve starts the loops and listeners.
 func (d *daemon) serve(ctx context.Context) error {
+	d.http.init()
 	peers, err := listen("tcp", d.settings.PeerAddress)
 	if err != nil {
 		return err
@@ -208,7 +211,6 @@
 	go every(ctx, reportInterval, func() { d.reportSlots(ctx) })
 	go d.settleOverdue(ctx)
 	go d.adoptRecords(ctx)
-	d.http.init()
 	operator, err := d.operatorHandler(ctx)
 	if err != nil {
 		return err
@@ -270,6 +272,10 @@
 // refresh passes changes of the view on.
 func (d *daemon) refresh() {
 	v := d.syncer.View()
+	if v == d.refreshed {
+		return
+	}
+	d.refreshed = v
 	d.outbox.SetTargets(accountTargets(d.settings, v))
 	if v.Ready() {
 		d.entry.Slots.SetReserveShare(v.Config.Config.Limits.ReserveShare)
