List entry VMs that are gone as missing

Cause: only VMs of the settings, which have the control or account role, were expected; an entry VM without them left the status and the burn report two seconds after it died, as if it had never been. That was read from the code, not run. Ruled out: the directory, which remembers VMs for ten minutes and now says so. A VM that is gone for longer than ten minutes, or at a change of leader, is still not listed.

--- a/coordination/shdirectory/directory.go
+++ b/coordination/shdirectory/directory.go
@@ -154,6 +154,18 @@
 	delete(d.records, vm)
 }
 
+// Missing returns the last heartbeats of the VMs that were removed within the
+// last ten minutes and have not returned, sorted by VM.
+func (d *Directory) Missing(now time.Time) []Heartbeat {
+	missing := map[shmodel.VM]Heartbeat{}
+	for vm, r := range d.records {
+		if r.removed {
+			missing[vm] = r.aged(now)
+		}
+	}
+	return sorted(missing)
+}
+
 // Changes returns what an entry VM needs that knows version since of source.
 // Heartbeats that only confirm the state of a VM are no changes.
 func (d *Directory) Changes(now time.Time, source Source, since uint64) Delta {
--- a/coordination/shdirectory/directory_test.go
+++ b/coordination/shdirectory/directory_test.go
@@ -272,6 +272,8 @@
 	assert.Assert(t, !d.Receive(now, later), "taken before the removal")
 	now = now.Add(shdirectory.ExpireAfter)
 	d.Expire(now)
+	assert.Equal(t, len(d.Missing(now)), 1)
 	assert.Assert(t, !d.Receive(now, earlier), "a copy of the earlier process")
 	assert.Assert(t, d.Receive(now, later))
+	assert.Equal(t, len(d.Missing(now)), 0)
 }
--- a/protocol/shwire/peer.go
+++ b/protocol/shwire/peer.go
@@ -63,8 +63,10 @@
 	Config   shconfig.Config  `json:"config"`
 	History  []shcontrol.Edit `json:"history,omitempty"`
 	Ranges   []shrecord.Range `json:"ranges,omitempty"`
-	// Entries is the directory of the leader, which is soft state.
+	// Entries is the directory of the leader, which is soft state, and Missing
+	// the VMs that it removed within the last ten minutes.
 	Entries []shdirectory.Heartbeat `json:"entries,omitempty"`
+	Missing []shdirectory.Heartbeat `json:"missing,omitempty"`
 	Leader  shmodel.VM              `json:"leader,omitempty"`
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -96,7 +96,7 @@
 requests payment-2
 
 say 'configuration in force at each daemon'
-sleep 1
+sleep 3
 "$sequoiahollow" config status
 say "accepted edits"
 "$sequoiahollow" config history | cut -c1-160 | head -3
--- a/transport/shdaemon/burn.go
+++ b/transport/shdaemon/burn.go
@@ -64,7 +64,7 @@
 }
 
 // BurnReport implements shoperator.Backend. Expected are the VMs of the settings
-// and those of the directory.
+// and those that were up within the last ten minutes.
 func (o operations) BurnReport(ctx context.Context) (shburn.Report, error) {
 	addresses := map[shmodel.VM]string{}
 	for _, p := range o.settings.Peers {
@@ -73,6 +73,13 @@
 	for _, h := range o.syncer.View().Entries {
 		addresses[h.VM] = h.PeerAddress
 	}
+	// Without a leader the VMs that this one knows are asked.
+	known, done := context.WithTimeout(ctx, burnTimeout)
+	defer done()
+	r, _ := o.proposer.Read(known, shwire.ReadRequest{Entries: true})
+	for _, h := range append(r.Missing, r.Entries...) {
+		addresses[h.VM] = h.PeerAddress
+	}
 	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
 	defer cancel()
 	answers := make(chan *shburn.DaemonReport, len(addresses))
--- a/transport/shdaemon/operations.go
+++ b/transport/shdaemon/operations.go
@@ -90,8 +90,8 @@
 	return edits, nil
 }
 
-// Status implements shoperator.Backend. A VM of the settings that no control VM
-// has heard of is listed as missing.
+// Status implements shoperator.Backend. VMs that were up within the last ten
+// minutes, and VMs of the settings, are listed as missing if they are not up.
 func (o operations) Status(ctx context.Context) (shoperator.Status, error) {
 	v := o.syncer.View()
 	status := shoperator.Status{Revision: v.Revision}
@@ -109,6 +109,12 @@
 		listed[h.VM] = true
 		status.Daemons = append(status.Daemons, o.daemonStatus(v, h, r.Leader))
 	}
+	for _, h := range r.Missing {
+		listed[h.VM] = true
+		missing := o.daemonStatus(v, h, "")
+		missing.Missing, missing.Revision = true, 0
+		status.Daemons = append(status.Daemons, missing)
+	}
 	for _, p := range o.settings.Peers {
 		if !listed[p.VM] {
 			status.Daemons = append(status.Daemons, shoperator.Daemon{
--- a/transport/shoperator/backend.go
+++ b/transport/shoperator/backend.go
@@ -97,8 +97,8 @@
 }
 
 // Daemon is one process. Revision is the one in force there. AgeMS is the time
-// since its last heartbeat; a daemon that never sent one has Missing set and
-// AgeMS -1.
+// since its last heartbeat, or -1 if it never sent one. A daemon that is not up
+// has Missing set and Revision 0.
 type Daemon struct {
 	VM            shmodel.VM            `json:"vm"`
 	Region        shmodel.Region        `json:"region"`
--- a/transport/shreplica/replica.go
+++ b/transport/shreplica/replica.go
@@ -165,6 +165,7 @@
 			now := time.Now()
 			r.directory.Expire(now)
 			a.Entries = r.directory.Entries(now)
+			a.Missing = r.directory.Missing(now)
 			a.Leader = r.config.VM
 		}
 	})
