Keep keys at home under pressure, refuse what would be late

Once the first cold runs queued, requests spilled to backend servers that were cold for the key, which cost three times the room and kept the queue up: 9186 arrivals, 970 shed, median 779 ms.

Ruled out: too few slots (warm runs fit), the retry budget (251 repeats).

Now the home of a key is the first usable backend server in its order of hashing, a cold run away from it needs a free slot and a service below 0.7 load per slot, and above 0.9 a request whose answer would miss its objective is refused with the time until there is room.

Conclusion: affinity must get stricter, not looser, under load.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -24,9 +24,7 @@
 	evacuated map[shmodel.FailureDomain]bool
 	routes    map[string]*routeTimes
 	trips     map[shmodel.FailureDomain]*estimate // round trips
-	keys      map[keySpace]*keySet
-	// generation counts changes of the backend servers.
-	generation uint64
+	keys      map[keySpace]map[string]*key
 }
 
 // routeTimes are learned response times of a route without queueing and round
@@ -64,7 +62,7 @@
 		services: map[shmodel.Service][]*node{},
 		routes:   map[string]*routeTimes{},
 		trips:    map[shmodel.FailureDomain]*estimate{},
-		keys:     map[keySpace]*keySet{},
+		keys:     map[keySpace]map[string]*key{},
 	}
 }
 
@@ -86,7 +84,6 @@
 		services[backend.Service] = append(services[backend.Service], n)
 	}
 	b.nodes, b.services, b.evacuated = nodes, services, v.Evacuated
-	b.generation++
 	b.coldRates = map[shmodel.Service]float64{}
 	for name := range services {
 		if v.Table == nil {
@@ -127,7 +124,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	times := b.times(r.Route)
-	key := b.key(now, r)
+	key := b.key(r)
 	best, target, refusal := b.compare(now, r, times, key)
 	if best == nil {
 		return Choice{}, refusal
@@ -146,25 +143,25 @@
 // it were warm among the anchors that are not and have a free slot. If there is
 // no choice it returns why.
 func (b *Balancer) compare(now time.Time, r Request, t *routeTimes, k *key) (best, target *Choice, refusal *Refusal) {
+	nodes := b.candidates(now, r)
+	a := b.anchor(nodes, k.hash)
+	pressure := pressureOf(now, nodes)
 	refusal = &Refusal{Reason: NoBackend, RetryAfter: firstSuspension}
 	var bestNode *node
-	for _, n := range b.services[r.Service] {
-		if !b.usable(now, n, r) {
-			continue
-		}
-		c, warm := b.estimate(now, n, t, r, k)
-		wait := c.Estimate - c.service
-		if c.Load >= float64(queueFactor*n.backend.Slots) || wait+min(warm, c.service) > r.Left {
+	for _, n := range nodes {
+		c, warm := b.estimate(now, n, t, r, k, a)
+		if !c.mayTake(r, warm, pressure) {
+			wait := c.Estimate - c.service
 			if refusal.Reason == NoBackend || wait < refusal.RetryAfter {
 				refusal = &Refusal{Reason: Overloaded, RetryAfter: max(wait, c.service/2)}
 			}
 			continue
 		}
 		c.loss = b.loss(now, n, r, c.Estimate)
-		if best == nil || c.loss < best.loss || (c.loss == best.loss && k.prefers(n, bestNode)) {
+		if best == nil || c.loss < best.loss || (c.loss == best.loss && prefers(k.hash, n, bestNode)) {
 			best, bestNode = &c, n
 		}
-		if c.Warm || c.queued || !k.isAnchor(n) {
+		if c.Warm || c.home || c.queued || pressure > spillUntil || !a.includes(n) {
 			continue
 		}
 		if loss := b.loss(now, n, r, warm); target == nil || loss < target.loss {
@@ -176,11 +173,52 @@
 	return best, target, refusal
 }
 
+// mayTake reports whether a request may go to a backend server, by its load and
+// that of the service. A cold run takes the room of several warm ones, so under
+// pressure none is made away from home; and an answer that would be late only
+// makes others late too.
+func (c Choice) mayTake(r Request, warm time.Duration, pressure float64) bool {
+	wait := c.Estimate - c.service
+	switch {
+	case c.Load >= float64(queueFactor*c.Backend.Slots), wait+min(warm, c.service) > r.Left:
+		return false
+	case !c.Warm && !c.home && (c.queued || pressure > spillUntil):
+		return false
+	case pressure > lateUntil:
+		return wait+min(warm, c.service)+r.Elapsed <= r.Route.Objective.Duration()
+	}
+	return true
+}
+
+// candidates returns the backend servers that may get a request.
+func (b *Balancer) candidates(now time.Time, r Request) []*node {
+	nodes := make([]*node, 0, len(b.services[r.Service]))
+	for _, n := range b.services[r.Service] {
+		if b.usable(now, n, r) {
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes
+}
+
+// pressureOf returns the load of backend servers against their slots.
+func pressureOf(now time.Time, nodes []*node) float64 {
+	load, slots := 0.0, 0.0
+	for _, n := range nodes {
+		load += n.load(now)
+		slots += float64(max(n.backend.Slots, 1))
+	}
+	if slots == 0 {
+		return 0
+	}
+	return load / slots
+}
+
 // estimate returns a choice without its loss, and the service time of a backend
 // server that is warm for the key.
-func (b *Balancer) estimate(now time.Time, n *node, t *routeTimes, r Request, k *key) (Choice, time.Duration) {
+func (b *Balancer) estimate(now time.Time, n *node, t *routeTimes, r Request, k *key, a anchors) (Choice, time.Duration) {
 	c := Choice{Backend: n.backend, Load: n.load(now), route: r.Route.Name, key: k.name, at: now}
-	c.service = b.service(n, t, r, &c, k)
+	c.service = b.service(n, t, r, &c, a)
 	warm := t.warm.or(time.Duration(coldPart * float64(c.service-c.trip)))
 	wait := n.wait(c.Load, warm)
 	c.queued = wait > 0
@@ -224,7 +262,7 @@
 }
 
 // service returns the expected response time without queueing.
-func (b *Balancer) service(n *node, t *routeTimes, r Request, c *Choice, key *key) time.Duration {
+func (b *Balancer) service(n *node, t *routeTimes, r Request, c *Choice, a anchors) time.Duration {
 	cold := t.first.or(time.Duration(r.Route.Objective) * time.Millisecond * 3 / 2)
 	warm := t.warm.or(time.Duration(coldPart * float64(cold)))
 	expected := cold
@@ -232,11 +270,11 @@
 	case known || !r.Route.Sticky:
 		c.Warm = true
 		expected = warm
-	case key.home == n:
+	case a.home == n:
 		// A cold run is needed somewhere, and this is the place for it.
 		c.home = true
 		expected = warm
-	case key.backup == n:
+	case a.backup == n:
 		expected = time.Duration(backupPart * float64(cold))
 	}
 	if trip := b.trips[n.backend.Zone]; trip != nil {
--- a/coordination/shbalance/key.go
+++ b/coordination/shbalance/key.go
@@ -1,9 +1,6 @@
 package shbalance
 
 import (
-	"slices"
-	"time"
-
 	"github.com/cespare/xxhash/v2"
 
 	"sequoiahollow/state/shmodel"
@@ -15,27 +12,14 @@
 	service shmodel.Service
 }
 
-// keySet is the keys of a route that were seen at this VM.
-type keySet struct {
-	keys map[string]*key
-}
-
 // key is an object that requests are about.
 type key struct {
 	name string
 	hash uint64
-	// home, near and backup are its anchors, nil without a backend server to use.
-	home, backup, inRegion, inZone *node
-	// generation is that of the backend servers when the anchors were chosen.
-	generation uint64
 	// paid is what its requests have lost since the last investment.
 	paid float64
 }
 
-func (k *key) isAnchor(n *node) bool {
-	return n == k.home || n == k.backup || n == k.inRegion || n == k.inZone
-}
-
 // pay accounts for what a choice loses beyond that of a warm and idle backend
 // server in the own failure domain. Losses by cold runs are not paid again.
 func (k *key) pay(c Choice, least float64) {
@@ -47,54 +31,57 @@
 	}
 }
 
-// key returns the key of a request with its anchors.
-func (b *Balancer) key(now time.Time, r Request) *key {
+// key returns the key of a request.
+func (b *Balancer) key(r Request) *key {
 	space := keySpace{route: r.Route.Name, service: r.Service}
 	set := b.keys[space]
-	if set == nil || len(set.keys) > maxKeys {
-		set = &keySet{keys: map[string]*key{}}
+	if set == nil || len(set) > maxKeys {
+		set = map[string]*key{}
 		b.keys[space] = set
 	}
-	k := set.keys[r.Key]
+	k := set[r.Key]
 	if k == nil {
 		k = &key{name: r.Route.Name + " " + r.Key}
 		k.hash = xxhash.Sum64String(k.name)
-		set.keys[r.Key] = k
-	}
-	if k.generation != b.generation {
-		b.anchor(now, k, r)
-		k.generation = b.generation
+		set[r.Key] = k
 	}
 	return k
 }
 
-// anchor chooses the anchors of a key.
-func (b *Balancer) anchor(now time.Time, k *key, r Request) {
-	k.home, k.backup, k.inRegion, k.inZone = nil, nil, nil, nil
-	for _, n := range b.services[r.Service] {
-		if n.backend.Leaving || b.evacuated[n.backend.Zone] || n.isCold(now) {
-			continue
-		}
-		if len(r.Route.Regions) > 0 && !slices.Contains(r.Route.Regions, n.region) {
-			continue
-		}
-		if n.region == b.place.Region && k.prefers(n, k.inRegion) {
-			k.inRegion = n
+// anchors are the backend servers that rendezvous hashing names for a key, nil
+// if there is none to use.
+type anchors struct {
+	// home and backup are the first two of all.
+	home, backup *node
+	// inRegion and inZone are the first in the place of the entry VM.
+	inRegion, inZone *node
+}
+
+func (a anchors) includes(n *node) bool {
+	return n == a.home || n == a.backup || n == a.inRegion || n == a.inZone
+}
+
+func (b *Balancer) anchor(nodes []*node, hash uint64) anchors {
+	var a anchors
+	for _, n := range nodes {
+		if n.region == b.place.Region && prefers(hash, n, a.inRegion) {
+			a.inRegion = n
 		}
-		if n.backend.Zone == b.place.Zone && k.prefers(n, k.inZone) {
-			k.inZone = n
+		if n.backend.Zone == b.place.Zone && prefers(hash, n, a.inZone) {
+			a.inZone = n
 		}
 		switch {
-		case k.prefers(n, k.home):
-			k.home, k.backup = n, k.home
-		case k.prefers(n, k.backup):
-			k.backup = n
+		case prefers(hash, n, a.home):
+			a.home, a.backup = n, a.home
+		case prefers(hash, n, a.backup):
+			a.backup = n
 		}
 	}
+	return a
 }
 
 // prefers reports whether a node comes before another one, which may be nil, in
 // the order of hashing.
-func (k *key) prefers(n, other *node) bool {
-	return other == nil || mix(k.hash, n.hash) > mix(k.hash, other.hash)
+func prefers(hash uint64, n, other *node) bool {
+	return other == nil || mix(hash, n.hash) > mix(hash, other.hash)
 }
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -101,6 +101,11 @@
 	// keptKeys bounds the keys that a backend server is taken to be warm for. It
 	// is the least that backend servers of the sites keep (18).
 	keptKeys = 18
+	// spillUntil is the pressure (load against slots of a service) up to which a
+	// key may get a cold run away from its home, and lateUntil that up to which
+	// requests are taken though their answers will be late.
+	spillUntil = 0.7
+	lateUntil  = 0.9
 	// queueFactor bounds the load of a backend server, in slots: a longer queue
 	// is shed.
 	queueFactor = 3
