Find the leader soon after all processes start together

Ruled out: start-up and disks (processes listen 10 ms after the start).

Now a node that has heard no leader since its start tries a pre-vote after 200 to 600 ms; a VM that does not lead holds a watch call until it knows the leader; what entry VMs say is committed beside the answer.

--- a/coordination/shraft/node.go
+++ b/coordination/shraft/node.go
@@ -149,6 +149,11 @@
 func (n *Node) clock() time.Duration { return n.now.Sub(n.start) }
 
 func (n *Node) resetDeadline() {
+	if n.heardAt.IsZero() {
+		first := n.config.FirstTimeout
+		n.deadline = n.now.Add(first + time.Duration(n.random.Int64N(2*int64(first))))
+		return
+	}
 	spread := int64(n.config.ElectionTimeoutMax - n.config.ElectionTimeout)
 	n.deadline = n.now.Add(n.config.ElectionTimeout + time.Duration(n.random.Int64N(spread)))
 }
--- a/coordination/shraft/raft.go
+++ b/coordination/shraft/raft.go
@@ -100,10 +100,13 @@
 	DefaultHeartbeat          = 100 * time.Millisecond
 	DefaultElectionTimeout    = 700 * time.Millisecond
 	DefaultElectionTimeoutMax = 1400 * time.Millisecond
-	DefaultMaxBatchBytes      = 256 << 10
-	DefaultSnapshotChunk      = 256 << 10
-	DefaultMaxInFlight        = 4096
-	DefaultTrailing           = 1024
+	// DefaultFirstTimeout leaves time for a pre-vote and a vote over the slowest
+	// link, at two round trips with new connections.
+	DefaultFirstTimeout  = 200 * time.Millisecond
+	DefaultMaxBatchBytes = 256 << 10
+	DefaultSnapshotChunk = 256 << 10
+	DefaultMaxInFlight   = 4096
+	DefaultTrailing      = 1024
 )
 
 // Config configures a Node. Zero fields take the defaults, except ID and Seed.
@@ -118,6 +121,10 @@
 	ElectionTimeout time.Duration
 	// ElectionTimeoutMax is the upper bound of the randomized election timeout.
 	ElectionTimeoutMax time.Duration
+	// FirstTimeout and three times that bound the election timeout of a node that
+	// has not heard a leader since its start. When all nodes start together there
+	// is no leader to wait for, and where there is one the pre-vote fails.
+	FirstTimeout time.Duration
 	// MaxBatchBytes bounds the data of the entries in one message, except that
 	// one entry is always sent whole.
 	MaxBatchBytes int
@@ -135,6 +142,7 @@
 	defaultTo(&c.Heartbeat, DefaultHeartbeat)
 	defaultTo(&c.ElectionTimeout, DefaultElectionTimeout)
 	defaultTo(&c.ElectionTimeoutMax, max(DefaultElectionTimeoutMax, 2*c.ElectionTimeout))
+	defaultTo(&c.FirstTimeout, min(DefaultFirstTimeout, c.ElectionTimeout/2))
 	defaultTo(&c.MaxBatchBytes, DefaultMaxBatchBytes)
 	defaultTo(&c.SnapshotChunk, DefaultSnapshotChunk)
 	defaultTo(&c.MaxInFlight, DefaultMaxInFlight)
--- a/coordination/shraft/raft_test.go
+++ b/coordination/shraft/raft_test.go
@@ -308,3 +308,18 @@
 	// shraft.Accepted
 	// shraft.Apply
 }
+
+// Guards against a group without a leader for a whole election timeout after all
+// nodes started together, and against a lone node that raises its term.
+func TestFirstElection(t *testing.T) {
+	n := single(t)
+	var requests []shraft.VoteRequest
+	for at := time.Duration(0); at < shraft.DefaultElectionTimeout; at += 20 * time.Millisecond {
+		requests = append(requests, bodiesOf[shraft.VoteRequest](n.Step(start.Add(at), shraft.Tick{}))...)
+	}
+	assert.Assert(t, len(requests) > 0, "no campaign within an election timeout")
+	for _, r := range requests {
+		assert.Assert(t, r.Pre)
+	}
+	assert.Equal(t, n.Status().Term, uint64(1))
+}
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -113,9 +113,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	result := r.state.Apply(index, c)
+	r.wake()
+	return []byte(result)
+}
+
+// wake lets watch calls look again. The mutex is held.
+func (r *Registry) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
-	return []byte(result)
 }
 
 // Snapshot implements shstore.StateMachine.
@@ -135,6 +140,7 @@
 func (r *Registry) changeRole(role shstore.Role) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	defer r.wake()
 	if !role.Leader || !role.Ready {
 		r.leading = time.Time{}
 		return
--- a/transport/shregistry/watch.go
+++ b/transport/shregistry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"sequoiahollow/coordination/shfleet"
@@ -9,25 +10,34 @@
 	"sequoiahollow/transport/shstore"
 )
 
-// watch answers an observer.
+// watch answers an observer. On a VM that does not lead it waits until it knows
+// the leader, so that observers learn of an election at once.
 func (r *Registry) watch(ctx context.Context, w WatchRequest) (WatchResponse, error) {
-	if err := r.noteWatch(ctx, w); err != nil {
-		return WatchResponse{}, err
-	}
 	deadline := time.NewTimer(HoldWatch)
 	defer deadline.Stop()
+	noted := false
 	for {
 		change, changed, leading := r.since(w.Since)
-		if !leading {
+		switch {
+		case leading && !noted:
+			r.noteWatch(w)
+			noted = true
+		case leading:
+		case noted || r.knowsOtherLeader():
 			return WatchResponse{}, r.notLeader(MethodWatch)
 		}
-		if change.To > w.Since || w.Since == 0 {
+		if leading && (change.To > w.Since || w.Since == 0) {
 			return WatchResponse{Change: change, Control: r.control()}, nil
 		}
 		select {
 		case <-changed:
-			pause(ctx, coalesce)
+			if leading {
+				pause(ctx, coalesce)
+			}
 		case <-deadline.C:
+			if !leading {
+				return WatchResponse{}, r.notLeader(MethodWatch)
+			}
 			return WatchResponse{Change: change, Control: r.control()}, nil
 		case <-ctx.Done():
 			return WatchResponse{}, ctx.Err()
@@ -35,6 +45,11 @@
 	}
 }
 
+func (r *Registry) knowsOtherLeader() bool {
+	leader := r.store.Status().Leader.VM
+	return leader != "" && leader != r.config.VM
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -50,32 +65,22 @@
 	return r.state.Since(index), r.changed, !r.leading.IsZero()
 }
 
-// noteWatch notes a sign of life of an observer, and commits what an entry VM
-// says of itself if that is news.
-func (r *Registry) noteWatch(ctx context.Context, w WatchRequest) error {
+// noteWatch notes a sign of life of an observer. What an entry VM says of itself
+// is committed if it is news; the observer sees that as a change.
+func (r *Registry) noteWatch(w WatchRequest) {
 	r.mu.Lock()
-	leading := !r.leading.IsZero()
 	r.watchedAt[w.VM] = time.Now()
 	news := false
 	if w.Entry != nil {
 		known, ok := r.state.Entries[w.VM]
-		news = !ok || known != *w.Entry
+		news = known != *w.Entry && (ok || w.Entry.Ready)
 	}
 	r.mu.Unlock()
-	if !leading {
-		return r.notLeader(MethodWatch)
-	}
 	if !news {
-		return nil
-	}
-	data, err := shfleet.EncodeCommand(shfleet.PutEntry{Entry: *w.Entry})
-	if err != nil {
-		return err
+		return
 	}
-	r.config.Logger.Info("entry VM announced", "vm", w.VM, "address", w.Entry.Address, "ready", w.Entry.Ready)
-	// An entry VM may watch before the group is complete.
-	_, err = r.store.Propose(ctx, data)
-	return err
+	r.config.Logger.Info("entry VM announced", "entry", w.VM, "address", w.Entry.Address, "ready", w.Entry.Ready)
+	r.active.Go(func() { r.proposeOwn(shfleet.PutEntry{Entry: *w.Entry}) })
 }
 
 // keep does the periodic work until the registry closes.
@@ -165,6 +170,6 @@
 		_, err = r.store.Propose(ctx, data)
 	}
 	if err != nil && shstore.KindOf(err) != shstore.KindNotLeader {
-		r.config.Logger.Warn("removal not committed", "error", err)
+		r.config.Logger.Warn("own command not committed", "command", fmt.Sprintf("%T", c), "error", err)
 	}
 }
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -37,7 +37,7 @@
 	if err := c.serve(outside); err != nil {
 		return errors.Join(err, c.close())
 	}
-	log.Info("control VM started", "vm", s.VM, "address", s.ControlAddress, "failureDomain", s.Zone,
+	log.Info("control VM started", "address", s.ControlAddress, "failureDomain", s.Zone,
 		"seeds", s.Seeds, "bootstrap", s.Bootstrap, "tolerateLosses", s.TolerateLosses)
 	background, cancel := context.WithCancel(context.Background())
 	finished := make(chan struct{})
@@ -99,7 +99,7 @@
 
 func (c *Control) stop() {
 	began := time.Now()
-	c.log.Info("control VM stops", "vm", c.settings.VM)
+	c.log.Info("control VM stops")
 	if r := c.Registry(); r != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 		if err := r.Resign(ctx); err != nil {
@@ -108,7 +108,7 @@
 		cancel()
 	}
 	c.shutdown(time.Second)
-	c.log.Info("control VM stopped", "vm", c.settings.VM, "tookMs", time.Since(began).Milliseconds())
+	c.log.Info("control VM stopped", "tookMs", time.Since(began).Milliseconds())
 }
 
 // Log is where handlers log.
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -70,7 +70,7 @@
 	if err := e.serve(front, outside); err != nil {
 		return errors.Join(err, e.close())
 	}
-	log.Info("entry VM started", "vm", s.VM, "address", s.EntryAddress, "failureDomain", s.Zone, "seeds", s.Seeds)
+	log.Info("entry VM started", "address", s.EntryAddress, "failureDomain", s.Zone, "seeds", s.Seeds)
 	var failure error
 	select {
 	case <-ctx.Done():
@@ -221,9 +221,9 @@
 	grace := shsettings.Seconds(e.settings.StopSeconds)
 	e.closing.Store(true)
 	e.watcher.Announce()
-	e.log.Info("entry VM stops", "vm", e.settings.VM, "graceSeconds", e.settings.StopSeconds)
+	e.log.Info("entry VM stops", "graceSeconds", e.settings.StopSeconds)
 	time.Sleep(time.Duration(serveShare * float64(grace)))
 	e.refusing.Store(true)
 	e.shutdown(time.Until(began.Add(grace - exitMargin)))
-	e.log.Info("entry VM stopped", "vm", e.settings.VM, "tookMs", time.Since(began).Milliseconds())
+	e.log.Info("entry VM stopped", "tookMs", time.Since(began).Milliseconds())
 }
