Account for platform requests

Each request of a caller gets a number from ranges that the replicated state reserves and leaves a refusal, or an opening, its attempts and a closing record. An entry VM groups a second's records into a compressed batch, which control VMs in two failure domains sync. Control VMs serve the export and its verification beside their metrics. Writing never holds up a request: a full disk or an unreachable store leaves counted, logged losses, and numbers that are missing show as gaps.

Ruled out as cheaper: one closing record a request (openings and attempts compress to little, and verification needs them).

--- a/coordination/shcontrol/ranges.go
+++ b/coordination/shcontrol/ranges.go
@@ -9,14 +9,14 @@
 	"sequoiahollow/state/shrecord"
 )
 
-// ranges is the reserved ranges of request IDs, dense from 1. All of them are
-// kept, since the account is verified against them.
-type ranges struct {
+// Ranges is the reserved ranges of request IDs, dense from 1. All of them are
+// kept, since the account is verified against them. The zero value has none.
+type Ranges struct {
 	Reserved []shrecord.Range `json:"reserved"`
 }
 
-// reserve applies a ReserveRange.
-func (r *ranges) reserve(at time.Time, c ReserveRange) Result {
+// Reserve applies a ReserveRange.
+func (r *Ranges) Reserve(at time.Time, c ReserveRange) Result {
 	last := shmodel.RequestID(0)
 	if n := len(r.Reserved); n > 0 {
 		last = r.Reserved[n-1].Last
@@ -24,7 +24,7 @@
 	if c.VM == "" || c.Count == 0 || c.Count > math.MaxUint64-uint64(last) {
 		return Rejected{Reason: "a range needs a VM and a count"}
 	}
-	if earlier, ok := r.reservedAs(c); ok {
+	if earlier, ok := r.ReservedAs(c); ok {
 		return RangeResult{Range: earlier}
 	}
 	reserved := shrecord.Range{
@@ -38,8 +38,8 @@
 	return RangeResult{Range: reserved}
 }
 
-// reservedAs returns the range that an earlier copy of the command reserved.
-func (r *ranges) reservedAs(c ReserveRange) (shrecord.Range, bool) {
+// ReservedAs returns the range that an earlier copy of the command reserved.
+func (r *Ranges) ReservedAs(c ReserveRange) (shrecord.Range, bool) {
 	if c.Sequence == 0 {
 		return shrecord.Range{}, false
 	}
@@ -55,4 +55,5 @@
 	return shrecord.Range{}, false
 }
 
-func (r *ranges) list() []shrecord.Range { return slices.Clone(r.Reserved) }
+// List returns all ranges, the lowest first.
+func (r *Ranges) List() []shrecord.Range { return slices.Clone(r.Reserved) }
--- a/coordination/shcontrol/state.go
+++ b/coordination/shcontrol/state.go
@@ -17,7 +17,7 @@
 	revisions revisions
 	claims    claims
 	grants    grants
-	ranges    ranges
+	ranges    Ranges
 	strikes   strikes
 	drains    drains
 }
@@ -27,7 +27,7 @@
 	Revisions *revisions `json:"revisions"`
 	Claims    *claims    `json:"claims"`
 	Grants    *grants    `json:"grants"`
-	Ranges    *ranges    `json:"ranges"`
+	Ranges    *Ranges    `json:"ranges"`
 	Strikes   *strikes   `json:"strikes"`
 	Drains    *drains    `json:"drains"`
 }
@@ -64,7 +64,7 @@
 	case ExpireGrant:
 		return s.grants.expire(c)
 	case ReserveRange:
-		return s.ranges.reserve(at, c)
+		return s.ranges.Reserve(at, c)
 	case ReportCrash:
 		return s.strikes.report(at, rulesOf(limits), c)
 	case OpenSolo:
@@ -139,7 +139,7 @@
 func (s *State) Grants() []Grant { return s.grants.list() }
 
 // Ranges returns all reserved ranges of request IDs, the lowest first.
-func (s *State) Ranges() []shrecord.Range { return s.ranges.list() }
+func (s *State) Ranges() []shrecord.Range { return s.ranges.List() }
 
 // Suspects returns the digests that do not run like any other, sorted.
 func (s *State) Suspects() []Suspect {
--- a/coordination/shfleet/command.go
+++ b/coordination/shfleet/command.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 
+	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/state/shmodel"
 )
 
@@ -45,6 +46,16 @@
 	VMs []shmodel.VM `json:"vms"`
 }
 
+// PutControl records what a control VM says of itself.
+type PutControl struct {
+	Control Control `json:"control"`
+}
+
+// ReserveRange reserves numbers of account records; ReservedAs tells which.
+type ReserveRange struct {
+	shcontrol.ReserveRange
+}
+
 // ReportCrash counts a strike against the digest of a request whose backend
 // server broke down while running it. With Cleared the digest ran to a good end
 // and is forgotten.
@@ -59,6 +70,8 @@
 func (RemoveBackends) command() {}
 func (PutEntry) command()       {}
 func (RemoveEntries) command()  {}
+func (PutControl) command()     {}
+func (ReserveRange) command()   {}
 func (ReportCrash) command()    {}
 
 // Result is the outcome of a PutDocument; other commands always succeed.
@@ -80,6 +93,8 @@
 	RemoveBackends *RemoveBackends `json:"removeBackends,omitempty"`
 	PutEntry       *PutEntry       `json:"putEntry,omitempty"`
 	RemoveEntries  *RemoveEntries  `json:"removeEntries,omitempty"`
+	PutControl     *PutControl     `json:"putControl,omitempty"`
+	ReserveRange   *ReserveRange   `json:"reserveRange,omitempty"`
 	ReportCrash    *ReportCrash    `json:"reportCrash,omitempty"`
 }
 
@@ -99,6 +114,10 @@
 		w.PutEntry = &c
 	case RemoveEntries:
 		w.RemoveEntries = &c
+	case PutControl:
+		w.PutControl = &c
+	case ReserveRange:
+		w.ReserveRange = &c
 	case ReportCrash:
 		w.ReportCrash = &c
 	}
@@ -124,6 +143,10 @@
 		return *w.PutEntry, nil
 	case w.RemoveEntries != nil:
 		return *w.RemoveEntries, nil
+	case w.PutControl != nil:
+		return *w.PutControl, nil
+	case w.ReserveRange != nil:
+		return *w.ReserveRange, nil
 	case w.ReportCrash != nil:
 		return *w.ReportCrash, nil
 	}
--- a/coordination/shfleet/shfleet.go
+++ b/coordination/shfleet/shfleet.go
@@ -4,8 +4,9 @@
 // # Model
 //
 // A State holds the routing table in force, the evacuated failure domains, the
-// backend servers that announced themselves and the entry VMs. A Command goes in
-// with its log index, and a Result comes out. Applying the same commands in the
+// backend servers that announced themselves, the VMs of the system, strikes against
+// requests and the ranges of account numbers. A Command goes in with its log
+// index and time, and a Result comes out. Applying the same commands in the
 // same order gives the same state on every replica.
 //
 // Every part remembers the index at which it changed last, so Since returns what
@@ -128,6 +129,14 @@
 	Ready bool `json:"ready"`
 }
 
+// Control is a control VM. Its peer address is IP:port.
+type Control struct {
+	VM      shmodel.VM            `json:"vm"`
+	Address string                `json:"address"`
+	Zone    shmodel.FailureDomain `json:"zone"`
+	Region  shmodel.Region        `json:"region"`
+}
+
 // Kind classifies an Error.
 type Kind string
 
--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"time"
 
+	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/state/shmodel"
 )
 
@@ -42,12 +44,15 @@
 	Ended map[shmodel.BackendServer]int64 `json:"ended,omitempty"`
 	// Removals are the last removed instances, the oldest first; what was
 	// removed up to RemovedUpTo is no longer listed.
-	Removals    []removal            `json:"removals,omitempty"`
-	RemovedUpTo uint64               `json:"removedUpTo,omitempty"`
-	Entries     map[shmodel.VM]Entry `json:"entries,omitempty"`
-	EntriesAt   uint64               `json:"entriesAt,omitempty"`
-	Strikes     []Strike             `json:"strikes,omitempty"`
-	StrikesAt   uint64               `json:"strikesAt,omitempty"`
+	Removals    []removal              `json:"removals,omitempty"`
+	RemovedUpTo uint64                 `json:"removedUpTo,omitempty"`
+	Entries     map[shmodel.VM]Entry   `json:"entries,omitempty"`
+	EntriesAt   uint64                 `json:"entriesAt,omitempty"`
+	Controls    map[shmodel.VM]Control `json:"controls,omitempty"`
+	ControlsAt  uint64                 `json:"controlsAt,omitempty"`
+	Ranges      shcontrol.Ranges       `json:"ranges"`
+	Strikes     []Strike               `json:"strikes,omitempty"`
+	StrikesAt   uint64                 `json:"strikesAt,omitempty"`
 }
 
 // placed is a Backend with the index of its last change.
@@ -72,8 +77,9 @@
 	Count  int            `json:"count"`
 }
 
-// Apply changes the state by the command at index.
-func (s *State) Apply(index uint64, c Command) Result {
+// Apply changes the state by the command at index, which the leader stamped with
+// a time.
+func (s *State) Apply(index uint64, at time.Time, c Command) Result {
 	s.Index = index
 	switch c := c.(type) {
 	case PutDocument:
@@ -97,6 +103,10 @@
 				s.EntriesAt = index
 			}
 		}
+	case PutControl:
+		s.putControl(c.Control)
+	case ReserveRange:
+		s.Ranges.Reserve(at.Round(0).UTC(), c.ReserveRange)
 	case ReportCrash:
 		s.strike(c)
 	}
@@ -207,6 +217,22 @@
 	s.EntriesAt = s.Index
 }
 
+func (s *State) putControl(c Control) {
+	if s.Controls[c.VM] == c {
+		return
+	}
+	if s.Controls == nil {
+		s.Controls = map[shmodel.VM]Control{}
+	}
+	for vm, other := range s.Controls {
+		if vm != c.VM && other.Address == c.Address {
+			delete(s.Controls, vm)
+		}
+	}
+	s.Controls[c.VM] = c
+	s.ControlsAt = s.Index
+}
+
 func (s *State) strike(c ReportCrash) {
 	i := slices.IndexFunc(s.Strikes, func(k Strike) bool { return k.Digest == c.Digest })
 	strikes := slices.Clone(s.Strikes)
@@ -249,6 +275,14 @@
 	return list
 }
 
+// ControlVMs returns all control VMs that ever announced themselves, sorted by
+// name.
+func (s *State) ControlVMs() []Control {
+	list := slices.Collect(maps.Values(s.Controls))
+	slices.SortFunc(list, func(a, b Control) int { return cmp.Compare(a.VM, b.VM) })
+	return list
+}
+
 // Snapshot returns the state as JSON.
 func (s *State) Snapshot() ([]byte, error) { return json.Marshal(s.image) }
 
--- a/coordination/shfleet/state_test.go
+++ b/coordination/shfleet/state_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -36,7 +37,7 @@
 	}
 	var s shfleet.State
 	for i, step := range steps {
-		got := s.Apply(uint64(i+1), shfleet.PutDocument{Document: step.put})
+		got := s.Apply(uint64(i+1), time.Time{}, shfleet.PutDocument{Document: step.put})
 		assert.Equal(t, got, step.want, step.name)
 		assert.Equal(t, s.Document.Version, step.now, step.name)
 	}
@@ -82,7 +83,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			var s shfleet.State
 			for i, command := range c.commands {
-				s.Apply(uint64(i+1), command)
+				s.Apply(uint64(i+1), time.Time{}, command)
 			}
 			got := s.Instances()
 			if len(got) == 0 {
@@ -103,12 +104,12 @@
 			views = append(views, shfleet.View{}.Apply(s.Since(uint64(i))))
 		}
 		for index := uint64(1); index <= 60; index++ {
-			s.Apply(index, drawCommand(t, &s))
+			s.Apply(index, time.Time{}, drawCommand(t, &s))
 			who := rapid.IntRange(0, len(views)-1).Draw(t, "observer")
 			stale := s.Since(0)
 			views[who] = views[who].Apply(s.Since(views[who].Index))
 			checkView(t, views[who], &s)
-			s.Apply(index, shfleet.PutBackends{})
+			s.Apply(index, time.Time{}, shfleet.PutBackends{})
 			views[who] = views[who].Apply(stale)
 			checkView(t, views[who], &s)
 		}
--- a/coordination/shfleet/view.go
+++ b/coordination/shfleet/view.go
@@ -19,6 +19,7 @@
 	Backends  []Backend                `json:"backends,omitempty"`
 	Removed   []Instance               `json:"removed,omitempty"`
 	Entries   *[]Entry                 `json:"entries,omitempty"`
+	Controls  *[]Control               `json:"controls,omitempty"`
 	Strikes   *[]Strike                `json:"strikes,omitempty"`
 }
 
@@ -52,6 +53,10 @@
 		entries := s.EntryVMs()
 		c.Entries = &entries
 	}
+	if whole || s.ControlsAt > index {
+		controls := s.ControlVMs()
+		c.Controls = &controls
+	}
 	if whole || s.StrikesAt > index {
 		strikes := s.Strikes
 		c.Strikes = &strikes
@@ -69,6 +74,7 @@
 	Evacuated map[shmodel.FailureDomain]bool
 	Backends  map[shmodel.BackendServer]Backend
 	Entries   []Entry
+	Controls  []Control
 	Strikes   map[shmodel.Digest]int
 }
 
@@ -93,6 +99,9 @@
 	if c.Entries != nil {
 		next.Entries = slices.Clone(*c.Entries)
 	}
+	if c.Controls != nil {
+		next.Controls = slices.Clone(*c.Controls)
+	}
 	if c.Strikes != nil {
 		next.Strikes = map[shmodel.Digest]int{}
 		for _, s := range *c.Strikes {
--- a/transport/shaccount/outbox.go
+++ b/transport/shaccount/outbox.go
@@ -34,8 +34,8 @@
 	// DefaultGroupDelay is the longest time that records wait for others while
 	// earlier batches are on their way.
 	DefaultGroupDelay = time.Millisecond
-	// deferredDelay groups records that no caller waits for.
-	deferredDelay = 10 * time.Millisecond
+	// DefaultDeferredDelay groups records that no caller waits for.
+	DefaultDeferredDelay = 10 * time.Millisecond
 	// releaseDelay groups releases; a late one only costs memory at the target.
 	releaseDelay = 50 * time.Millisecond
 	// releaseTimeout bounds a release message. A lost one is made good by the
@@ -71,6 +71,8 @@
 	// records other than openings and refusals.
 	MaxBytes   int64
 	GroupDelay time.Duration
+	// DeferredDelay groups records that no caller waits for.
+	DeferredDelay time.Duration
 	// Incarnation tells the processes of a VM apart; a random one is chosen if
 	// it is 0.
 	Incarnation uint64
@@ -123,6 +125,9 @@
 	if options.GroupDelay <= 0 {
 		options.GroupDelay = DefaultGroupDelay
 	}
+	if options.DeferredDelay <= 0 {
+		options.DeferredDelay = DefaultDeferredDelay
+	}
 	for options.Incarnation == 0 {
 		options.Incarnation = rand.Uint64()
 	}
@@ -259,7 +264,7 @@
 	case g.timer == nil:
 		delay := o.options.GroupDelay
 		if level == Deferred {
-			delay = deferredDelay
+			delay = o.options.DeferredDelay
 		}
 		g.timer = time.AfterFunc(delay, func() { o.submitGroup(g) })
 	}
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -36,6 +36,10 @@
 	arrivals int
 	dials    int
 	tried    []shmodel.BackendServer
+	// number and attempts are for the account.
+	number      shmodel.RequestID
+	attempts    []attempt
+	answerBytes int
 	// last is the newest whole answer of a backend server that failed.
 	last *shorigin.Response
 }
@@ -44,6 +48,9 @@
 func (x *exchange) serve() {
 	f := x.front
 	x.view = f.View()
+	if f.Account != nil {
+		x.number = f.Account.Next()
+	}
 	if x.view.Table == nil {
 		x.refuse("no routing table yet", noTableRetry)
 		return
@@ -142,6 +149,7 @@
 func (x *exchange) attempt(c shbalance.Choice) attemptResult {
 	f := x.front
 	x.tried = append(x.tried, c.Backend.ID)
+	x.attempts = append(x.attempts, attempt{at: time.Now(), backend: c.Backend})
 	header := endToEnd(x.request.Header)
 	header.Del(f.Dialect.Timeout)
 	header.Set(f.Dialect.Instance, string(c.Backend.ID))
@@ -241,6 +249,7 @@
 	switch {
 	case x.last != nil:
 		x.pass(*x.last)
+		x.answerBytes = len(x.last.Body)
 		x.finish(outcomeAnswered, x.last.Status, reason)
 	case x.sent == 0:
 		x.refuse(reason, retryAfter)
@@ -254,6 +263,7 @@
 // deliver passes an answer on.
 func (x *exchange) deliver(c shbalance.Choice, r shorigin.Response) {
 	x.pass(r)
+	x.answerBytes = len(r.Body)
 	x.finishAt(c, r)
 }
 
--- a/transport/shfront/front.go
+++ b/transport/shfront/front.go
@@ -34,7 +34,11 @@
 	// might not end in time.
 	Refusing func() bool
 	// Report is called with crashes; it must not block.
-	Report  func(CrashReport)
+	Report func(CrashReport)
+	// Account takes the account records of each request; nil keeps none.
+	Account Account
+	// Place is where the VM runs, for the account.
+	Place   shbalance.Place
 	Metrics *metrics.Set
 	Logger  *slog.Logger
 
--- a/transport/shfront/report.go
+++ b/transport/shfront/report.go
@@ -34,6 +34,7 @@
 			"load", c.Load, "warm", c.Warm, "reused", r.Reused, "index", x.view.Index)
 	}
 	x.count(outcomeAnswered, r.Status, took)
+	x.account(outcomeAnswered, r.Status, "", took)
 }
 
 // finish accounts for a request that got no delivered answer and logs it.
@@ -48,6 +49,7 @@
 		"attempts", len(x.tried), "mayHaveRun", x.sent, "tookMs", took.Milliseconds(),
 		"version", x.view.Version, "index", x.view.Index)
 	x.count(outcome, status, took)
+	x.account(outcome, status, reason, took)
 }
 
 func (x *exchange) count(outcome string, status int, took time.Duration) {
--- a/transport/shfront/shfront.go
+++ b/transport/shfront/shfront.go
@@ -29,6 +29,7 @@
 
 	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
 )
 
 const (
@@ -85,6 +86,15 @@
 	Cleared bool
 }
 
+// Account takes account records. Both methods must not block.
+type Account interface {
+	// Next numbers a request; zero means that no number is to be had now.
+	Next() shmodel.RequestID
+	// Write takes all records of one request, which share its number. Records
+	// without a number get one.
+	Write(records []shrecord.Record)
+}
+
 // Outcome labels for logs and metrics.
 const (
 	outcomeAnswered = "answered"
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -7,9 +7,11 @@
 	"sync"
 	"time"
 
+	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shraft"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
 	"sequoiahollow/transport/shleader"
 	"sequoiahollow/transport/shpeer"
 	"sequoiahollow/transport/shstore"
@@ -103,7 +105,7 @@
 type machine struct{ registry *Registry }
 
 // Apply implements shstore.StateMachine.
-func (m machine) Apply(index uint64, _ time.Time, data []byte) []byte {
+func (m machine) Apply(index uint64, at time.Time, data []byte) []byte {
 	r := m.registry
 	c, err := shfleet.DecodeCommand(data)
 	if err != nil {
@@ -112,7 +114,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	result := r.state.Apply(index, c)
+	result := r.state.Apply(index, at, c)
 	r.wake()
 	return []byte(result)
 }
@@ -359,9 +361,49 @@
 		return d, err
 	})
 	shpeer.Handle(r.config.Server, methodSeen, r.noteSeen)
+	shpeer.Handle(r.config.Server, MethodReserve, r.reserve)
+	shpeer.Handle(r.config.Server, methodRanges, func(ctx context.Context, _ none) ([]shrecord.Range, error) {
+		var ranges []shrecord.Range
+		err := r.store.Read(ctx, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			ranges = r.state.Ranges.List()
+		})
+		return ranges, err
+	})
 	shpeer.Handle(r.config.Server, MethodWatch, r.watch)
 }
 
+// reserve reserves numbers of account records on the leader.
+func (r *Registry) reserve(ctx context.Context, c shcontrol.ReserveRange) (shrecord.Range, error) {
+	data, err := shfleet.EncodeCommand(shfleet.ReserveRange{ReserveRange: c})
+	if err != nil {
+		return shrecord.Range{}, err
+	}
+	if _, err := r.store.Propose(ctx, data); err != nil {
+		return shrecord.Range{}, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reserved, ok := r.state.Ranges.ReservedAs(c)
+	if !ok {
+		return shrecord.Range{}, fmt.Errorf("range %d of %s was not reserved", c.Sequence, c.VM)
+	}
+	return reserved, nil
+}
+
+// Ranges returns the reserved numbers of account records, confirmed by a quorum.
+func (r *Registry) Ranges(ctx context.Context) ([]shrecord.Range, error) {
+	return leaderCall[[]shrecord.Range](ctx, r, methodRanges, none{})
+}
+
+// Controls returns the control VMs as this VM knows them.
+func (r *Registry) Controls() []shfleet.Control {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.ControlVMs()
+}
+
 func (r *Registry) born(id shmodel.BackendServer) int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -67,13 +67,18 @@
 	methodWithdraw = "fleet.withdraw"
 	methodDocument = "fleet.document"
 	methodSeen     = "fleet.seen"
+	methodRanges   = "fleet.ranges"
+	// MethodReserve takes a shcontrol.ReserveRange and answers a shrecord.Range.
+	MethodReserve = "fleet.reserve"
 	// MethodWatch takes a WatchRequest and answers a WatchResponse.
 	MethodWatch = "fleet.watch"
 )
 
 // Config configures a Registry.
 type Config struct {
-	VM shmodel.VM
+	VM     shmodel.VM
+	Zone   shmodel.FailureDomain
+	Region shmodel.Region
 	// PeerAddress is where Server listens, IP:port.
 	PeerAddress string
 	// Seeds are the peer addresses of some control VMs.
--- a/transport/shregistry/watch.go
+++ b/transport/shregistry/watch.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shraft"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shstore"
 )
@@ -94,6 +96,7 @@
 		case <-r.ctx.Done():
 			return
 		}
+		r.announceSelf()
 		if r.isLeading() {
 			r.expire()
 		} else {
@@ -102,6 +105,25 @@
 	}
 }
 
+// announceSelf proposes what this VM says of itself if that is news and the VM
+// has a vote.
+func (r *Registry) announceSelf() {
+	self := shfleet.Control{VM: r.config.VM, Address: r.config.PeerAddress, Zone: r.config.Zone, Region: r.config.Region}
+	status := r.store.Status()
+	voter := slices.ContainsFunc(status.Voters, func(m shraft.Member) bool { return m.ID == status.ID })
+	r.mu.Lock()
+	known := r.state.Controls[self.VM]
+	r.mu.Unlock()
+	if known == self || !voter || status.Leader.VM == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, commandTimeout)
+	defer cancel()
+	if _, err := r.Propose(ctx, shfleet.PutControl{Control: self}); err != nil {
+		r.config.Logger.Warn("control VM not announced; it tries again", "error", err)
+	}
+}
+
 // reportSeen tells the leader which backend servers were seen here.
 func (r *Registry) reportSeen() {
 	r.mu.Lock()
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -6,10 +6,12 @@
 	"log/slog"
 	"net/http"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/shaccount"
 	"sequoiahollow/transport/shregistry"
 )
 
@@ -43,7 +45,10 @@
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
+		var running sync.WaitGroup
+		running.Go(func() { c.keepAccount(background) })
 		c.keepOpen(background)
+		running.Wait()
 	}()
 	var failure error
 	select {
@@ -64,7 +69,7 @@
 	if _, err := c.listen(c.settings.ControlAddress, outside.Control(c)); err != nil {
 		return err
 	}
-	return c.listenMetrics(outside.Metrics.Address, outside.Metrics.Path)
+	return c.listenMetrics(outside.Metrics.Address, outside.Metrics.Path, c.serveAccount)
 }
 
 // keepOpen keeps the registry open. A store that failed, for example because the
@@ -72,7 +77,8 @@
 func (c *Control) keepOpen(ctx context.Context) {
 	for ctx.Err() == nil {
 		r, err := shregistry.Open(shregistry.Config{
-			VM: c.settings.VM, PeerAddress: c.settings.PeerAddress(), Seeds: c.settings.PeerSeeds(),
+			VM: c.settings.VM, Zone: c.settings.Zone, Region: c.settings.Region,
+			PeerAddress: c.settings.PeerAddress(), Seeds: c.settings.PeerSeeds(),
 			Voters: 2*c.settings.TolerateLosses + 1, Bootstrap: c.settings.Bootstrap,
 			Folder: filepath.Join(c.settings.DataFolder, "fleet"),
 			Client: c.client, Server: c.server, Logger: c.log,
@@ -90,10 +96,34 @@
 				c.log.Error("replicated state closed", "error", err)
 			}
 		}
-		select {
-		case <-time.After(reopenPause):
-		case <-ctx.Done():
+		sleep(ctx, reopenPause)
+	}
+}
+
+// keepAccount keeps the account store open. One that has failed takes nothing
+// more, and entry VMs bring their records elsewhere meanwhile.
+func (c *Control) keepAccount(ctx context.Context) {
+	for ctx.Err() == nil {
+		store, err := shaccount.OpenStore(shaccount.StoreOptions{Folder: filepath.Join(c.settings.DataFolder, "account")})
+		if err != nil {
+			c.log.Error("account not opened", "error", err)
+			sleep(ctx, reopenPause)
+			continue
+		}
+		handleAccount(c.server, store)
+		for ctx.Err() == nil && store.Err() == nil {
+			sleep(ctx, reopenPause)
 		}
+		if err := errors.Join(store.Err(), store.Close()); err != nil {
+			c.log.Error("account closed", "error", err)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
 
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -37,6 +37,7 @@
 	watcher  *shwatch.Watcher
 	balancer *shbalance.Balancer
 	origin   *shorigin.Client
+	account  *accountant
 	reports  chan shfront.CrashReport
 	seeds    atomic.Pointer[[]string]
 	closing  atomic.Bool
@@ -51,19 +52,23 @@
 	e := &Entry{process: newProcess(s, log), origin: &shorigin.Client{}, reports: make(chan shfront.CrashReport, reportQueue)}
 	seeds := s.PeerSeeds()
 	e.seeds.Store(&seeds)
-	e.balancer = shbalance.New(shbalance.Place{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions})
+	place := shbalance.Place{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
+	e.balancer = shbalance.New(place)
 	e.watcher = &shwatch.Watcher{
 		VM: s.VM, Client: e.client, Seeds: func() []string { return *e.seeds.Load() },
 		Entry: e.describe, Logger: log,
 		Changed: func(v shfleet.View) { e.balancer.Update(time.Now(), v) },
 	}
+	e.account = newAccountant(e.process, e.watcher)
 	front := &shfront.Front{
+		Account: e.account, Place: place,
 		Dialect: outside.Dialect, Balancer: e.balancer, Origin: e.origin, View: e.watcher.View,
 		Closing: e.closing.Load, Refusing: e.refusing.Load, Report: e.report, Metrics: e.metrics, Logger: log,
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go e.watcher.Run(background)
+	go e.account.run(background)
 	go e.sendReports(background)
 	go e.prune(background)
 	go e.reload(background, outside)
@@ -78,7 +83,7 @@
 	case failure = <-e.failed:
 		log.Error("entry VM failed", "error", failure)
 	}
-	return errors.Join(failure, e.close())
+	return errors.Join(failure, e.account.close(), e.close())
 }
 
 func (e *Entry) serve(front http.Handler, outside EntryInterface) error {
@@ -94,7 +99,7 @@
 			return err
 		}
 	}
-	return e.listenMetrics(outside.Metrics.Address, outside.Metrics.Path)
+	return e.listenMetrics(outside.Metrics.Address, outside.Metrics.Path, func(*http.ServeMux) {})
 }
 
 // Ready reports whether callers may be sent to this VM.
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -117,9 +117,10 @@
 	}
 }
 
-// listenMetrics serves the metrics of the process.
-func (p *process) listenMetrics(address, path string) error {
+// listenMetrics serves the metrics of the process and what extend adds.
+func (p *process) listenMetrics(address, path string, extend func(*http.ServeMux)) error {
 	mux := http.NewServeMux()
+	extend(mux)
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
 		p.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
--- a/transport/shwatch/shwatch.go
+++ b/transport/shwatch/shwatch.go
@@ -14,8 +14,10 @@
 	"sync/atomic"
 	"time"
 
+	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
 	"sequoiahollow/transport/shleader"
 	"sequoiahollow/transport/shpeer"
 	"sequoiahollow/transport/shregistry"
@@ -41,6 +43,7 @@
 	Changed func(shfleet.View)
 	Logger  *slog.Logger
 
+	watched shleader.Finder // for the watch call, which waits longer
 	finder  shleader.Finder
 	view    atomic.Pointer[shfleet.View]
 	heardAt atomic.Pointer[time.Time] // the last answer, nil before the first
@@ -70,7 +73,7 @@
 
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
-	w.finder.CallTimeout = shregistry.HoldWatch + answerMargin
+	w.watched.CallTimeout = shregistry.HoldWatch + answerMargin
 	for ctx.Err() == nil {
 		w.poll(ctx)
 	}
@@ -96,6 +99,18 @@
 	return err
 }
 
+// Reserve reserves numbers of account records.
+func (w *Watcher) Reserve(ctx context.Context, c shcontrol.ReserveRange) (shrecord.Range, error) {
+	return shleader.Call[shrecord.Range](ctx, &w.finder, w.Client, w.addresses, shregistry.MethodReserve, c)
+}
+
+// Control returns the peer addresses of the control VMs that are members now.
+func (w *Watcher) Control() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.control)
+}
+
 func (w *Watcher) poll(ctx context.Context) {
 	request := shregistry.WatchRequest{VM: w.VM, Since: w.View().Index}
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
@@ -107,7 +122,7 @@
 	}
 	w.cancel = cancel
 	w.mu.Unlock()
-	response, err := shleader.Call[shregistry.WatchResponse](ctx, &w.finder, w.Client, w.addresses, shregistry.MethodWatch, request)
+	response, err := shleader.Call[shregistry.WatchResponse](ctx, &w.watched, w.Client, w.addresses, shregistry.MethodWatch, request)
 	if err != nil {
 		if ctx.Err() != context.Canceled {
 			age, _ := w.Age()
