Count cold periods by the steady clock of each VM

The end of a cold period was kept in wall time of the control VM that took the announcement, and the clocks of entry VMs had been put forward by 5 s, so all of them took it for warm at once.

Ruled out: the shares of the entry VMs (within bounds in a test over every window) and the announcement (it arrived with 3 s left).

Now the state keeps how long the backend server stays cold, each observer counts from when it hears of it, and the end of the period is committed, so that a VM that starts later does not count it again.

Conclusion: no time of day crosses VMs any more except in logs and the account.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -79,6 +79,9 @@
 			n = b.newNode(now, backend)
 			n.untried = b.isBusy(backend.Service)
 		}
+		if n.backend.At != backend.At {
+			n.coldUntil = now.Add(backend.ColdFor.Duration())
+		}
 		n.backend = backend
 		nodes[id] = n
 		services[backend.Service] = append(services[backend.Service], n)
--- a/coordination/shbalance/balancer_test.go
+++ b/coordination/shbalance/balancer_test.go
@@ -146,7 +146,7 @@
 func TestColdShares(t *testing.T) {
 	v := fleet(1)
 	cold := v.Backends["n1-0"]
-	cold.ColdUntil = start.Add(time.Minute).UnixMilli()
+	cold.ColdFor, cold.At = 60_000, 1
 	v.Backends = map[shmodel.BackendServer]shfleet.Backend{cold.ID: cold}
 	var all []*shbalance.Balancer
 	for _, e := range v.Entries {
@@ -248,3 +248,34 @@
 		})
 	}
 }
+
+// Guards against a cold period that depends on the clock of another VM, or that
+// begins anew with each change of the fleet.
+func TestColdPeriod(t *testing.T) {
+	v := fleet(1)
+	cold := v.Backends["n1-0"]
+	cold.ColdFor, cold.At = 3000, 5
+	v.Backends = map[shmodel.BackendServer]shfleet.Backend{cold.ID: cold}
+	v.Entries = v.Entries[:1]
+	// The clock of this VM is an hour ahead of that of the backend server.
+	now := start.Add(time.Hour)
+	b := shbalance.New(shbalance.Place{VM: "e1", Zone: "n1", Region: "north", Regions: regions})
+	b.Update(now, v)
+	inOneSecond := func(now time.Time) int {
+		n := 0
+		for i := range 100 {
+			at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+			if c, refusal := b.Pick(at, request("k")); refusal == nil {
+				n++
+				b.Done(at, c, shbalance.Answered{})
+			}
+		}
+		return n
+	}
+	assert.Assert(t, inOneSecond(now) <= 4)
+	next := v
+	next.Index = 9
+	b.Update(now.Add(2*time.Second), next)
+	assert.Assert(t, inOneSecond(now.Add(2*time.Second)) <= 4)
+	assert.Equal(t, inOneSecond(now.Add(3*time.Second)), 100)
+}
--- a/coordination/shbalance/node.go
+++ b/coordination/shbalance/node.go
@@ -33,6 +33,7 @@
 	suspendedUntil time.Time
 	suspension     time.Duration
 
+	coldUntil time.Time
 	// tokens is what a cold backend server may get from this VM at tokensAt.
 	tokens   float64
 	tokensAt time.Time
@@ -67,7 +68,7 @@
 // sites state a spread of 0.15, and queueing at the backend server adds to it.
 const paceNoise = 0.3
 
-func (n *node) isCold(now time.Time) bool { return n.backend.ColdUntil > now.UnixMilli() }
+func (n *node) isCold(now time.Time) bool { return now.Before(n.coldUntil) }
 
 // isUntried reports whether the backend server joined lately and got nothing.
 func (n *node) isUntried(now time.Time) bool {
--- a/coordination/shfleet/shfleet.go
+++ b/coordination/shfleet/shfleet.go
@@ -111,11 +111,13 @@
 	Address string                `json:"address"`
 	Zone    shmodel.FailureDomain `json:"zone"`
 	Slots   int                   `json:"slots"`
-	// ColdUntil is the end of the cold period in Unix milliseconds by the clock
-	// of the leader, zero if warm.
-	ColdUntil int64 `json:"coldUntil,omitempty"`
+	// ColdFor is how long it stays cold from the announcement on, zero if warm.
+	// Observers count from when they hear of it: clocks of VMs may differ.
+	ColdFor Millis `json:"coldForMs,omitempty"`
 	// Leaving is set for good once the backend server said that it drains.
 	Leaving bool `json:"leaving,omitempty"`
+	// At is the index of the last announcement that changed it.
+	At uint64 `json:"at"`
 }
 
 // Entry is an entry VM.
--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -33,13 +33,13 @@
 
 // image is the JSON form of a State.
 type image struct {
-	Index      uint64                           `json:"index"`
-	Document   Document                         `json:"document"`
-	DocumentAt uint64                           `json:"documentAt,omitempty"`
-	Accepted   []acceptedDocument               `json:"accepted,omitempty"`
-	Evacuated  []shmodel.FailureDomain          `json:"evacuated,omitempty"`
-	EvacuateAt uint64                           `json:"evacuateAt,omitempty"`
-	Backends   map[shmodel.BackendServer]placed `json:"backends,omitempty"`
+	Index      uint64                            `json:"index"`
+	Document   Document                          `json:"document"`
+	DocumentAt uint64                            `json:"documentAt,omitempty"`
+	Accepted   []acceptedDocument                `json:"accepted,omitempty"`
+	Evacuated  []shmodel.FailureDomain           `json:"evacuated,omitempty"`
+	EvacuateAt uint64                            `json:"evacuateAt,omitempty"`
+	Backends   map[shmodel.BackendServer]Backend `json:"backends,omitempty"`
 	// Ended holds the newest ended lifetime of each ID, by Born.
 	Ended map[shmodel.BackendServer]int64 `json:"ended,omitempty"`
 	// Removals are the last removed instances, the oldest first; what was
@@ -55,12 +55,6 @@
 	StrikesAt   uint64                 `json:"strikesAt,omitempty"`
 }
 
-// placed is a Backend with the index of its last change.
-type placed struct {
-	Backend
-	At uint64 `json:"at"`
-}
-
 type removal struct {
 	Instance
 	At uint64 `json:"at"`
@@ -162,9 +156,10 @@
 		b.Leaving = b.Leaving || known.Leaving
 	}
 	if s.Backends == nil {
-		s.Backends = map[shmodel.BackendServer]placed{}
+		s.Backends = map[shmodel.BackendServer]Backend{}
 	}
-	s.Backends[b.ID] = placed{Backend: b, At: s.Index}
+	b.At = s.Index
+	s.Backends[b.ID] = b
 }
 
 // Admits reports whether an announcement is of a lifetime that may be running.
@@ -254,16 +249,13 @@
 
 // Backend returns a backend server by its ID.
 func (s *State) Backend(id shmodel.BackendServer) (Backend, bool) {
-	p, ok := s.Backends[id]
-	return p.Backend, ok
+	b, ok := s.Backends[id]
+	return b, ok
 }
 
 // Instances returns all backend servers in force, sorted by ID.
 func (s *State) Instances() []Backend {
-	list := make([]Backend, 0, len(s.Backends))
-	for _, p := range s.Backends {
-		list = append(list, p.Backend)
-	}
+	list := slices.Collect(maps.Values(s.Backends))
 	slices.SortFunc(list, func(a, b Backend) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/coordination/shfleet/state_test.go
+++ b/coordination/shfleet/state_test.go
@@ -86,8 +86,9 @@
 				s.Apply(uint64(i+1), time.Time{}, command)
 			}
 			got := s.Instances()
-			if len(got) == 0 {
-				got = nil
+			for i := range got {
+				assert.Assert(t, got[i].At > 0)
+				got[i].At = 0
 			}
 			assert.DeepEqual(t, got, c.want)
 		})
@@ -149,7 +150,7 @@
 	assert.Equal(t, v.Index, s.Index)
 	assert.Equal(t, v.Version, s.Document.Version)
 	got := slices.SortedFunc(maps.Values(v.Backends), func(a, b shfleet.Backend) int { return cmpID(a, b) })
-	assert.DeepEqual(t, append([]shfleet.Backend{}, got...), s.Instances())
+	assert.DeepEqual(t, append([]shfleet.Backend{}, got...), append([]shfleet.Backend{}, s.Instances()...))
 	assert.DeepEqual(t, append([]shfleet.Entry{}, v.Entries...), append([]shfleet.Entry{}, s.EntryVMs()...))
 	assert.Equal(t, v.Evacuated["a"], slices.Contains(s.Evacuated, "a"))
 	assert.Equal(t, len(v.Strikes), len(s.Strikes))
--- a/coordination/shfleet/view.go
+++ b/coordination/shfleet/view.go
@@ -39,7 +39,7 @@
 	}
 	for _, b := range s.Backends {
 		if b.At > index {
-			c.Backends = append(c.Backends, b.Backend)
+			c.Backends = append(c.Backends, b)
 		}
 	}
 	if !whole {
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -40,7 +40,10 @@
 	watchedAt map[shmodel.VM]time.Time
 	// unreported are backend servers seen here since the last report.
 	unreported map[shmodel.BackendServer]bool
-	sequences  map[shmodel.BackendServer]sequence
+	// announcedAt is when this VM applied the last announcement that changed
+	// something, by its own steady clock.
+	announcedAt map[shmodel.BackendServer]time.Time
+	sequences   map[shmodel.BackendServer]sequence
 }
 
 // sequence is the highest sequence number of a lifetime.
@@ -57,11 +60,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Registry{
 		config: config, ctx: ctx, cancel: cancel,
-		changed:    make(chan struct{}),
-		seenAt:     map[shmodel.BackendServer]time.Time{},
-		watchedAt:  map[shmodel.VM]time.Time{},
-		unreported: map[shmodel.BackendServer]bool{},
-		sequences:  map[shmodel.BackendServer]sequence{},
+		changed:     make(chan struct{}),
+		seenAt:      map[shmodel.BackendServer]time.Time{},
+		watchedAt:   map[shmodel.VM]time.Time{},
+		unreported:  map[shmodel.BackendServer]bool{},
+		announcedAt: map[shmodel.BackendServer]time.Time{},
+		sequences:   map[shmodel.BackendServer]sequence{},
 	}
 	store, err := shstore.Open(shstore.Config{
 		VM: config.VM, Address: config.PeerAddress, Folder: config.Folder,
@@ -115,6 +119,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	result := r.state.Apply(index, at, c)
+	if put, ok := c.(shfleet.PutBackends); ok {
+		for _, b := range put.Backends {
+			r.announcedAt[b.ID] = time.Now()
+		}
+	}
 	r.wake()
 	return []byte(result)
 }
@@ -276,7 +285,7 @@
 	}
 	r.noteSequence(a)
 	r.config.Logger.Info("backend server announced", "id", a.ID, "born", a.Born, "service", a.Service,
-		"address", a.Address, "zone", a.Zone, "leaving", a.Leaving, "coldUntil", a.ColdUntil)
+		"address", a.Address, "zone", a.Zone, "leaving", a.Leaving, "coldForMs", a.ColdFor)
 	return nil
 }
 
@@ -292,7 +301,7 @@
 		return false
 	}
 	known, ok := r.state.Backend(a.ID)
-	if !ok || !sameAnnouncement(known, a.Backend, time.Now()) {
+	if !ok || !sameAnnouncement(known, a.Backend, time.Since(r.announcedAt[a.ID])) {
 		return true
 	}
 	r.sequences[a.ID] = sequence{born: a.Born, number: a.Sequence}
@@ -316,16 +325,18 @@
 	r.seenAt[id] = time.Now()
 }
 
-// sameAnnouncement reports whether an announcement says what is known.
-func sameAnnouncement(known, told shfleet.Backend, now time.Time) bool {
+// sameAnnouncement reports whether an announcement says what is known. Since is
+// how long ago what is known was announced. The end of a cold period is news, so
+// that a VM that starts later does not take it for a new one.
+func sameAnnouncement(known, told shfleet.Backend, since time.Duration) bool {
 	if known.Leaving {
 		told.Leaving = true
 	}
-	knownCold := max(known.ColdUntil, now.UnixMilli())
-	toldCold := max(told.ColdUntil, now.UnixMilli())
-	known.ColdUntil, told.ColdUntil = 0, 0
-	difference := time.Duration(toldCold-knownCold) * time.Millisecond
-	return known == told && difference.Abs() < coldTolerance
+	left := max(known.ColdFor.Duration()-since, 0)
+	same := (left-told.ColdFor.Duration()).Abs() < coldTolerance && (known.ColdFor == 0 || told.ColdFor > 0)
+	known.ColdFor, told.ColdFor = 0, 0
+	known.At, told.At = 0, 0
+	return same && known == told
 }
 
 // Withdraw records the end of a backend server. Born is zero if unknown.
