--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -71,6 +71,7 @@
 		VM: config.VM, Address: config.PeerAddress, Folder: config.Folder,
 		Seeds: config.Seeds, Target: config.Voters, Bootstrap: config.Bootstrap,
 		StateMachine: machine{r}, Client: config.Client, Server: config.Server,
+		Raft:         shraft.Config{Heartbeat: heartbeat},
 		JoinInterval: joinInterval, OnRole: r.changeRole, FS: config.FS, Logger: config.Logger,
 	})
 	if err != nil {
@@ -84,6 +85,10 @@
 	return r, nil
 }
 
+// heartbeat is the time between messages of the leader at rest. Three may be lost
+// within the least election timeout; the bytes between regions are dear.
+const heartbeat = 200 * time.Millisecond
+
 // joinInterval is the time between tries to form or join the group. Traffic
 // starts 8 s after the VMs do.
 const joinInterval = 250 * time.Millisecond
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -105,8 +105,12 @@
 // Ready reports whether callers may be sent to this VM.
 func (e *Entry) Ready() bool { return !e.closing.Load() && e.watcher.View().Table != nil }
 
-// describe is what the fleet knows of this VM.
+// describe is what the fleet should know of this VM, nil before it can serve: a
+// VM that starts again soon stays listed meanwhile.
 func (e *Entry) describe() *shfleet.Entry {
+	if !e.closing.Load() && !e.Ready() {
+		return nil
+	}
 	return &shfleet.Entry{
 		VM: e.settings.VM, Address: e.settings.EntryAddress, Zone: e.settings.Zone, Region: e.settings.Region, Ready: e.Ready(),
 	}
--- a/transport/shwatch/shwatch.go
+++ b/transport/shwatch/shwatch.go
@@ -37,7 +37,7 @@
 	Client *shpeer.Client
 	// Seeds returns the peer addresses of some control VMs.
 	Seeds func() []string
-	// Entry returns what the VM says of itself; nil means that it is no entry VM.
+	// Entry returns what the VM says of itself; nil means that it says nothing.
 	Entry func() *shfleet.Entry
 	// Changed is called after each new view.
 	Changed func(shfleet.View)
@@ -50,7 +50,7 @@
 	mu      sync.Mutex
 	control []string
 	cancel  context.CancelFunc // ends the call in progress
-	told    shfleet.Entry
+	told    *shfleet.Entry
 }
 
 // View returns the newest view; it is empty at first.
@@ -83,7 +83,7 @@
 func (w *Watcher) Announce() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cancel != nil && w.Entry != nil && *w.Entry() != w.told {
+	if w.cancel != nil && w.Entry != nil && w.told != nil && *w.Entry() != *w.told {
 		w.cancel()
 	}
 }
@@ -118,7 +118,7 @@
 	w.mu.Lock()
 	if w.Entry != nil {
 		request.Entry = w.Entry()
-		w.told = *request.Entry
+		w.told = request.Entry
 	}
 	w.cancel = cancel
 	w.mu.Unlock()
