Make homes of keys likelier in the region of the entry VM

Keys mostly stay with the callers of one region.

Weighted rendezvous hashing, three times likelier in the own region.

--- a/coordination/shbalance/key.go
+++ b/coordination/shbalance/key.go
@@ -1,6 +1,8 @@
 package shbalance
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"sequoiahollow/state/shmodel"
@@ -71,9 +73,9 @@
 			a.inZone = n
 		}
 		switch {
-		case prefers(hash, n, a.home):
+		case b.ranks(hash, n, a.home):
 			a.home, a.backup = n, a.home
-		case prefers(hash, n, a.backup):
+		case b.ranks(hash, n, a.backup):
 			a.backup = n
 		}
 	}
@@ -85,3 +87,18 @@
 func prefers(hash uint64, n, other *node) bool {
 	return other == nil || mix(hash, n.hash) > mix(hash, other.hash)
 }
+
+// ranks is prefers with the backend servers of the own region nearWeight times
+// as likely to come first as others.
+func (b *Balancer) ranks(hash uint64, n, other *node) bool {
+	return other == nil || b.rank(hash, n) > b.rank(hash, other)
+}
+
+func (b *Balancer) rank(hash uint64, n *node) float64 {
+	u := (float64(mix(hash, n.hash)>>11) + 1) / (1 << 53)
+	weight := 1.0
+	if n.region == b.place.Region {
+		weight = nearWeight
+	}
+	return -weight / math.Log(u)
+}
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -93,6 +93,9 @@
 	// server. With three, two that disagree about the entry VMs stay within the
 	// tolerated excess of a half.
 	coldSharers = 3
+	// nearWeight is how much likelier a backend server of the own region is the
+	// home of a key than another one.
+	nearWeight = 3
 	// maxKeys bounds the keys of a route that are remembered.
 	maxKeys = 4096
 	// backupPart makes the backup of a key the first choice among backend
