--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -132,11 +132,11 @@
 	if best == nil {
 		return Choice{}, refusal
 	}
-	if target != nil && key.paid >= investAfter && target.loss < best.loss {
+	if target != nil && key.shouldInvest(now) && target.loss < best.loss {
 		best = target
 	}
 	objective := max(r.Route.Objective.Duration(), time.Millisecond)
-	key.pay(*best, waitLoss*float64(times.warm.mean)/float64(objective))
+	key.pay(now, *best, waitLoss*float64(times.warm.mean)/float64(objective))
 	n := b.nodes[best.Backend.ID]
 	n.book(now, key.name, b.coldShare(now, n))
 	return *best, nil
--- a/coordination/shbalance/key.go
+++ b/coordination/shbalance/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,18 +19,32 @@
 type key struct {
 	name string
 	hash uint64
-	// paid is what its requests have lost since the last investment.
-	paid float64
+	// paid is what count requests have lost since the last investment, or since
+	// the first one.
+	paid  float64
+	count int
+	since time.Time
+}
+
+// shouldInvest reports whether the requests have lost enough, or come so often
+// that they soon will have, for one of them to make an anchor warm.
+func (k *key) shouldInvest(now time.Time) bool {
+	if k.paid >= investAfter {
+		return true
+	}
+	age := now.Sub(k.since)
+	return k.count >= investLeast && age > 0 && k.paid*float64(investHorizon)/float64(age) >= investAfter
 }
 
 // pay accounts for what a choice loses beyond that of a warm and idle backend
 // server in the own failure domain. Losses by cold runs are not paid again.
-func (k *key) pay(c Choice, least float64) {
+func (k *key) pay(now time.Time, c Choice, least float64) {
 	switch {
-	case c.invest:
-		k.paid = 0
+	case c.invest || k.since.IsZero():
+		k.paid, k.count, k.since = 0, 0, now
 	case c.Warm || c.home:
 		k.paid += max(c.loss-least, 0)
+		k.count++
 	}
 }
 
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -59,6 +59,8 @@
 	// spent on making another backend server warm: twice the loss of a cold run,
 	// since each entry VM decides for itself.
 	investAfter = 2 * lateLoss
+	// investLeast is the number of requests that tell how often a key comes.
+	investLeast = 5
 	// waitLoss makes the sooner of two answers in time the better one.
 	waitLoss = 0.1
 	// brokenOffLoss is what an answer after the deadline loses beyond lateLoss.
@@ -71,6 +73,8 @@
 const (
 	// reportMemory is the time in which the load of others fades.
 	reportMemory = 2 * time.Second
+	// investHorizon is how long a backend server is taken to stay warm for a key.
+	investHorizon = 30 * time.Second
 	// firstSuspension is how long a backend server that could not be reached is
 	// left alone; it doubles up to maxSuspension.
 	firstSuspension = 400 * time.Millisecond
