Explain a request from logs

"sequoiahollow explain ID [FILE...]" tells every line of the logs that names a request, and what the processes that handled it believed before. Backend servers that nobody has seen are removed after four of the stated heartbeats instead of a fixed time.

--- a/cmd/sequoiahollow/main.go
+++ b/cmd/sequoiahollow/main.go
@@ -45,6 +45,7 @@
 	Lookup  lookupCommand  `cmd:"" help:"Ask an entry VM which entry VMs to use for a service."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 
+	Explain  explainCommand   `cmd:"" help:"Tell the story of one request from the logs of a fleet."`
 	Platform platform.Command `cmd:"" help:"Run a role on the platform."`
 }
 
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -80,8 +80,9 @@
 			VM: c.settings.VM, Zone: c.settings.Zone, Region: c.settings.Region,
 			PeerAddress: c.settings.PeerAddress(), Seeds: c.settings.PeerSeeds(),
 			Voters: 2*c.settings.TolerateLosses + 1, Bootstrap: c.settings.Bootstrap,
-			Folder: filepath.Join(c.settings.DataFolder, "fleet"),
-			Client: c.client, Server: c.server, Logger: c.log,
+			Folder:         filepath.Join(c.settings.DataFolder, "fleet"),
+			BackendSilence: silentBeats * shsettings.Seconds(c.settings.HeartbeatSeconds),
+			Client:         c.client, Server: c.server, Logger: c.log,
 		})
 		if err != nil {
 			c.log.Error("replicated state not opened", "error", err)
