--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -21,6 +21,9 @@
 	// keptDocuments bounds the accepted documents whose repetition is known:
 	// three hours of edits at the design size of 66,000 a day.
 	keptDocuments = 8192
+	// keptEnded bounds the ended lifetimes that are remembered, the latest born
+	// ones: a heartbeat is seconds late, not hours.
+	keptEnded = 16384
 	// keptStrikes bounds the digests with strikes.
 	keptStrikes = 1024
 )
@@ -184,6 +187,9 @@
 			s.Ended = map[shmodel.BackendServer]int64{}
 		}
 		s.Ended[i.ID] = i.Born
+		if len(s.Ended) > keptEnded {
+			s.forgetEnded()
+		}
 	}
 	if known, ok := s.Backends[i.ID]; !ok || known.Born > i.Born {
 		return
@@ -196,19 +202,18 @@
 	}
 }
 
+// forgetEnded drops the older half of the ended lifetimes.
+func (s *State) forgetEnded() {
+	born := slices.Sorted(maps.Values(s.Ended))
+	middle := born[len(born)/2]
+	maps.DeleteFunc(s.Ended, func(_ shmodel.BackendServer, at int64) bool { return at < middle })
+}
+
 func (s *State) putEntry(e Entry) {
-	if known, ok := s.Entries[e.VM]; ok && known == e {
+	if s.Entries[e.VM] == e {
 		return
 	}
-	if s.Entries == nil {
-		s.Entries = map[shmodel.VM]Entry{}
-	}
-	for vm, other := range s.Entries {
-		if vm != e.VM && other.Address == e.Address {
-			delete(s.Entries, vm)
-		}
-	}
-	s.Entries[e.VM] = e
+	s.Entries = placeVM(s.Entries, e.VM, e, func(x Entry) string { return x.Address })
 	s.EntriesAt = s.Index
 }
 
@@ -216,18 +221,20 @@
 	if s.Controls[c.VM] == c {
 		return
 	}
-	if s.Controls == nil {
-		s.Controls = map[shmodel.VM]Control{}
-	}
-	for vm, other := range s.Controls {
-		if vm != c.VM && other.Address == c.Address {
-			delete(s.Controls, vm)
-		}
-	}
-	s.Controls[c.VM] = c
+	s.Controls = placeVM(s.Controls, c.VM, c, func(x Control) string { return x.Address })
 	s.ControlsAt = s.Index
 }
 
+// placeVM puts a VM into a map and removes others at its address.
+func placeVM[T any](vms map[shmodel.VM]T, vm shmodel.VM, value T, address func(T) string) map[shmodel.VM]T {
+	if vms == nil {
+		vms = map[shmodel.VM]T{}
+	}
+	maps.DeleteFunc(vms, func(_ shmodel.VM, other T) bool { return address(other) == address(value) })
+	vms[vm] = value
+	return vms
+}
+
 func (s *State) strike(c ReportCrash) {
 	i := slices.IndexFunc(s.Strikes, func(k Strike) bool { return k.Digest == c.Digest })
 	strikes := slices.Clone(s.Strikes)
--- a/transport/shregistry/watch.go
+++ b/transport/shregistry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -97,6 +98,7 @@
 			return
 		}
 		r.announceSelf()
+		r.prune()
 		if r.isLeading() {
 			r.expire()
 		} else {
@@ -157,6 +159,19 @@
 	}
 }
 
+// prune drops what is remembered of backend servers that are gone.
+func (r *Registry) prune() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	gone := func(id shmodel.BackendServer) bool {
+		_, ok := r.state.Backends[id]
+		return !ok
+	}
+	maps.DeleteFunc(r.seenAt, func(id shmodel.BackendServer, _ time.Time) bool { return gone(id) })
+	maps.DeleteFunc(r.announcedAt, func(id shmodel.BackendServer, _ time.Time) bool { return gone(id) })
+	maps.DeleteFunc(r.sequences, func(id shmodel.BackendServer, _ sequence) bool { return gone(id) })
+}
+
 func (r *Registry) silent(now time.Time) ([]shfleet.Instance, []shmodel.VM) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -30,9 +30,6 @@
 // Registry returns the replicated state, nil while its store is not open.
 func (c *Control) Registry() *shregistry.Registry { return c.registry.Load() }
 
-// Settings returns the settings of the VM.
-func (c *Control) Settings() shsettings.Fleet { return c.settings }
-
 // RunControl runs a control VM until ctx ends, then stops gracefully.
 func RunControl(ctx context.Context, s shsettings.Fleet, outside ControlInterface, log *slog.Logger) error {
 	c := &Control{process: newProcess(s, log)}
@@ -66,7 +63,7 @@
 	if err := c.listenPeers(); err != nil {
 		return err
 	}
-	if _, err := c.listen(c.settings.ControlAddress, outside.Control(c)); err != nil {
+	if _, err := c.listen(c.Settings.ControlAddress, outside.Control(c)); err != nil {
 		return err
 	}
 	return c.listenMetrics(outside.Metrics.Address, outside.Metrics.Path, c.serveAccount)
@@ -77,15 +74,15 @@
 func (c *Control) keepOpen(ctx context.Context) {
 	for ctx.Err() == nil {
 		r, err := shregistry.Open(shregistry.Config{
-			VM: c.settings.VM, Zone: c.settings.Zone, Region: c.settings.Region,
-			PeerAddress: c.settings.PeerAddress(), Seeds: c.settings.PeerSeeds(),
-			Voters: 2*c.settings.TolerateLosses + 1, Bootstrap: c.settings.Bootstrap,
-			Folder:         filepath.Join(c.settings.DataFolder, "fleet"),
-			BackendSilence: silentBeats * shsettings.Seconds(c.settings.HeartbeatSeconds),
-			Client:         c.client, Server: c.server, Logger: c.log,
+			VM: c.Settings.VM, Zone: c.Settings.Zone, Region: c.Settings.Region,
+			PeerAddress: c.Settings.PeerAddress(), Seeds: c.Settings.PeerSeeds(),
+			Voters: 2*c.Settings.TolerateLosses + 1, Bootstrap: c.Settings.Bootstrap,
+			Folder:         filepath.Join(c.Settings.DataFolder, "fleet"),
+			BackendSilence: silentBeats * shsettings.Seconds(c.Settings.HeartbeatSeconds),
+			Client:         c.client, Server: c.server, Logger: c.Log,
 		})
 		if err != nil {
-			c.log.Error("replicated state not opened", "error", err)
+			c.Log.Error("replicated state not opened", "error", err)
 		} else {
 			c.registry.Store(r)
 			select {
@@ -94,7 +91,7 @@
 			}
 			c.registry.Store(nil)
 			if err := r.Close(); err != nil {
-				c.log.Error("replicated state closed", "error", err)
+				c.Log.Error("replicated state closed", "error", err)
 			}
 		}
 		sleep(ctx, reopenPause)
@@ -105,9 +102,9 @@
 // more, and entry VMs bring their records elsewhere meanwhile.
 func (c *Control) keepAccount(ctx context.Context) {
 	for ctx.Err() == nil {
-		store, err := shaccount.OpenStore(shaccount.StoreOptions{Folder: filepath.Join(c.settings.DataFolder, "account")})
+		store, err := shaccount.OpenStore(shaccount.StoreOptions{Folder: filepath.Join(c.Settings.DataFolder, "account")})
 		if err != nil {
-			c.log.Error("account not opened", "error", err)
+			c.Log.Error("account not opened", "error", err)
 			sleep(ctx, reopenPause)
 			continue
 		}
@@ -116,7 +113,7 @@
 			sleep(ctx, reopenPause)
 		}
 		if err := errors.Join(store.Err(), store.Close()); err != nil {
-			c.log.Error("account closed", "error", err)
+			c.Log.Error("account closed", "error", err)
 		}
 	}
 }
@@ -130,17 +127,14 @@
 
 func (c *Control) stop() {
 	began := time.Now()
-	c.log.Info("control VM stops")
+	c.Log.Info("control VM stops")
 	if r := c.Registry(); r != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 		if err := r.Resign(ctx); err != nil {
-			c.log.Warn("leadership not handed over", "error", err)
+			c.Log.Warn("leadership not handed over", "error", err)
 		}
 		cancel()
 	}
 	c.shutdown(time.Second)
-	c.log.Info("control VM stopped", "tookMs", time.Since(began).Milliseconds())
+	c.Log.Info("control VM stopped", "tookMs", time.Since(began).Milliseconds())
 }
-
-// Log is where handlers log.
-func (c *Control) Log() *slog.Logger { return c.log }
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -91,9 +91,9 @@
 		address string
 		handler http.Handler
 	}{
-		{e.settings.EntryAddress, front},
-		{e.settings.ReadinessAddress, outside.Readiness(e)},
-		{e.settings.DirectoryAddress, outside.Directory(e)},
+		{e.Settings.EntryAddress, front},
+		{e.Settings.ReadinessAddress, outside.Readiness(e)},
+		{e.Settings.DirectoryAddress, outside.Directory(e)},
 	} {
 		if _, err := e.listen(x.address, x.handler); err != nil {
 			return err
@@ -112,7 +112,7 @@
 		return nil
 	}
 	return &shfleet.Entry{
-		VM: e.settings.VM, Address: e.settings.EntryAddress, Zone: e.settings.Zone, Region: e.settings.Region, Ready: e.Ready(),
+		VM: e.Settings.VM, Address: e.Settings.EntryAddress, Zone: e.Settings.Zone, Region: e.Settings.Region, Ready: e.Ready(),
 	}
 }
 
@@ -144,16 +144,13 @@
 	return addresses
 }
 
-// CacheSeconds is how long callers may use an answer of Directory.
-func (e *Entry) CacheSeconds() float64 { return e.settings.CacheSeconds }
-
 // report queues a crash report, or drops it if the leader has not taken earlier
 // ones: the request will be reported again if it comes again.
 func (e *Entry) report(r shfront.CrashReport) {
 	select {
 	case e.reports <- r:
 	default:
-		e.log.Warn("crash report dropped", "digest", r.Digest)
+		e.Log.Warn("crash report dropped", "digest", r.Digest)
 	}
 }
 
@@ -165,7 +162,7 @@
 			err := e.watcher.Propose(callCtx, shfleet.ReportCrash{Digest: r.Digest, Cleared: r.Cleared})
 			cancel()
 			if err != nil {
-				e.log.Warn("crash report not recorded", "digest", r.Digest, "error", err)
+				e.Log.Warn("crash report not recorded", "digest", r.Digest, "error", err)
 			}
 		case <-ctx.Done():
 			return
@@ -190,7 +187,7 @@
 
 // reload takes over new seeds when the settings change.
 func (e *Entry) reload(ctx context.Context, outside EntryInterface) {
-	reloadSeeds(ctx, e.log, outside.Reload, outside.Changed, func(s shsettings.Fleet) {
+	reloadSeeds(ctx, e.Log, outside.Reload, outside.Changed, func(s shsettings.Fleet) {
 		seeds := s.PeerSeeds()
 		e.seeds.Store(&seeds)
 	})
@@ -227,12 +224,12 @@
 // stop takes the VM out of service. See the package comment.
 func (e *Entry) stop() {
 	began := time.Now()
-	grace := shsettings.Seconds(e.settings.StopSeconds)
+	grace := shsettings.Seconds(e.Settings.StopSeconds)
 	e.closing.Store(true)
 	e.watcher.Announce()
-	e.log.Info("entry VM stops", "graceSeconds", e.settings.StopSeconds)
+	e.Log.Info("entry VM stops", "graceSeconds", e.Settings.StopSeconds)
 	time.Sleep(time.Duration(serveShare * float64(grace)))
 	e.refusing.Store(true)
 	e.shutdown(time.Until(began.Add(grace - exitMargin)))
-	e.log.Info("entry VM stopped", "tookMs", time.Since(began).Milliseconds())
+	e.Log.Info("entry VM stopped", "tookMs", time.Since(began).Milliseconds())
 }
--- /dev/null
+++ b/transport/shsteer/export.go
@@ -0,0 +1,114 @@
+package shsteer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"iter"
+	"net/http"
+	"time"
+
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/state/shrecord"
+	"sequoiahollow/transport/shaccount"
+	"sequoiahollow/transport/shpeer"
+)
+
+// exportTimeout bounds the reading of one page of a store.
+const exportTimeout = 5 * time.Second
+
+// handleAccount lets a control VM keep and tell account records.
+func handleAccount(server *shpeer.Server, store *shaccount.Store) {
+	shpeer.Handle(server, methodAppend, func(ctx context.Context, p packedAppend) (shaccount.AppendResponse, error) {
+		records, err := unpack(p.Records)
+		if err == nil && len(records) == 0 && !p.Request.Confirm {
+			err = errors.New("a batch without records")
+		}
+		if err != nil {
+			return shaccount.AppendResponse{Refused: shaccount.Invalid, Reason: err.Error()}, nil
+		}
+		p.Request.Records = records
+		return store.HandleAppend(ctx, p.Request)
+	})
+	shpeer.Handle(server, shwire.MethodAccountRead, store.Read)
+}
+
+// accountLines merges the records of all control VMs that can be read. The
+// second result names those that cannot.
+func (c *Control) accountLines(ctx context.Context) (iter.Seq2[shrecord.Line, error], []shrecord.Range, []shmodel.VM, error) {
+	r := c.Registry()
+	if r == nil {
+		return nil, nil, nil, errors.New("the replicated state is not open")
+	}
+	ranges, err := r.Ranges(ctx)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	var sources []iter.Seq2[shrecord.Record, error]
+	var missing []shmodel.VM
+	for _, vm := range r.Controls() {
+		read := func(ctx context.Context, q shaccount.ReadRequest) (shaccount.ReadResponse, error) {
+			ctx, cancel := context.WithTimeout(ctx, exportTimeout)
+			defer cancel()
+			return shpeer.Call[shaccount.ReadResponse](ctx, c.client, vm.Address, shwire.MethodAccountRead, q)
+		}
+		if _, err := read(ctx, shaccount.ReadRequest{Limit: 1}); err != nil {
+			missing = append(missing, vm.VM)
+			continue
+		}
+		sources = append(sources, shaccount.Pages(ctx, shaccount.ReadRequest{}, read))
+	}
+	if len(sources) == 0 {
+		return nil, nil, missing, fmt.Errorf("no account can be read of %v", missing)
+	}
+	return shrecord.Export(ranges, shrecord.Merge(sources...)), ranges, missing, nil
+}
+
+// Verification is the answer to GET /v1/account/verify.
+type Verification struct {
+	shrecord.Report
+	// Unread are control VMs whose records could not be read.
+	Unread []shmodel.VM `json:"unread,omitempty"`
+}
+
+// serveAccount adds the operators' view of the account to a mux.
+func (c *Control) serveAccount(mux *http.ServeMux) {
+	mux.HandleFunc("GET /v1/account/export", func(w http.ResponseWriter, r *http.Request) {
+		lines, _, missing, err := c.accountLines(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		if len(missing) > 0 {
+			c.Log.Warn("control VMs left out of the export", "vms", missing)
+		}
+		encoder := json.NewEncoder(w)
+		for line, err := range lines {
+			if err == nil {
+				err = encoder.Encode(line)
+			}
+			if err != nil {
+				// A broken connection tells the client that the export is not whole.
+				c.Log.Error("account export ended early", "error", err)
+				panic(http.ErrAbortHandler)
+			}
+		}
+	})
+	mux.HandleFunc("GET /v1/account/verify", func(w http.ResponseWriter, r *http.Request) {
+		lines, ranges, missing, err := c.accountLines(r.Context())
+		var report shrecord.Report
+		if err == nil {
+			report, err = shrecord.VerifyLines(ranges, lines)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(Verification{Report: report, Unread: missing}); err != nil {
+			c.Log.Info("verification not delivered", "error", err)
+		}
+	})
+}
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -62,13 +62,14 @@
 
 // process is what both kinds of VM consist of.
 type process struct {
-	settings shsettings.Fleet
-	log      *slog.Logger
-	metrics  *metrics.Set
-	client   *shpeer.Client
-	server   *shpeer.Server
-	http     []*http.Server
-	failed   chan error
+	Settings shsettings.Fleet
+	// Log is where handlers log too.
+	Log     *slog.Logger
+	metrics *metrics.Set
+	client  *shpeer.Client
+	server  *shpeer.Server
+	http    []*http.Server
+	failed  chan error
 }
 
 func newProcess(s shsettings.Fleet, log *slog.Logger) *process {
@@ -77,7 +78,7 @@
 	}
 	config := shpeer.Config{Self: s.PeerAddress(), Connections: 1, Logger: log}
 	return &process{
-		settings: s, log: log, metrics: metrics.NewSet(),
+		Settings: s, Log: log, metrics: metrics.NewSet(),
 		client: shpeer.NewClient(config), server: shpeer.NewServer(config),
 		failed: make(chan error, 1),
 	}
@@ -85,7 +86,7 @@
 
 // listenPeers takes calls of other VMs.
 func (p *process) listenPeers() error {
-	l, err := net.Listen("tcp", p.settings.PeerAddress())
+	l, err := net.Listen("tcp", p.Settings.PeerAddress())
 	if err != nil {
 		return fmt.Errorf("peer address: %w", err)
 	}
@@ -104,7 +105,7 @@
 	}
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
 	}
 	p.http = append(p.http, s)
 	go p.serveListener(func() error { return s.Serve(l) })
@@ -147,7 +148,7 @@
 	defer cancel()
 	for _, s := range p.http {
 		if err := s.Shutdown(ctx); err != nil {
-			p.log.Warn("requests still in progress at the end of the stop", "error", err)
+			p.Log.Warn("requests still in progress at the end of the stop", "error", err)
 		}
 	}
 }
