Show the view of the fleet and the replication in the metrics

An engineer on call sees the routing table in force and the age of the view at each entry VM, backend servers by state and account records that are owed; at control VMs the leader, term, commit index and voters.

--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -33,6 +33,7 @@
 // RunControl runs a control VM until ctx ends, then stops gracefully.
 func RunControl(ctx context.Context, s shsettings.Fleet, outside ControlInterface, log *slog.Logger) error {
 	c := &Control{process: newProcess(s, log)}
+	c.addGauges()
 	if err := c.serve(outside); err != nil {
 		return errors.Join(err, c.close())
 	}
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -60,6 +60,7 @@
 		Changed: func(v shfleet.View) { e.balancer.Update(time.Now(), v) },
 	}
 	e.account = newAccountant(e.process, e.watcher)
+	e.addGauges()
 	front := &shfront.Front{
 		Account: e.account, Place: place,
 		Dialect: outside.Dialect, Balancer: e.balancer, Origin: e.origin, View: e.watcher.View,
