Count silence from the announcement, remember withdrawals of silent ones

Two faults met. The leader removed as silent what had just announced itself at another control VM, whose report of signs of life comes up to half a second later, so backend servers dropped out and came back with each heartbeat. And a withdrawal without the start of the lifetime changed nothing when it met such a gap, so the next late heartbeat brought the backend server back.

Now an applied announcement is a sign of life, and lifetimes removed as silent are remembered, so that a withdrawal ends them.

--- a/coordination/shfleet/command.go
+++ b/coordination/shfleet/command.go
@@ -30,7 +30,8 @@
 }
 
 // RemoveBackends takes backend servers out. With Ended their lifetimes are over
-// for good; without it a later announcement brings them back.
+// for good; without it a later announcement brings them back. An instance without
+// Born means the lifetime that was heard of last.
 type RemoveBackends struct {
 	Instances []Instance `json:"instances"`
 	Ended     bool       `json:"ended,omitempty"`
--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -21,9 +21,9 @@
 	// keptDocuments bounds the accepted documents whose repetition is known:
 	// three hours of edits at the design size of 66,000 a day.
 	keptDocuments = 8192
-	// keptEnded bounds the ended lifetimes that are remembered, the latest born
-	// ones: a heartbeat is seconds late, not hours.
-	keptEnded = 16384
+	// keptLifetimes bounds the lifetimes that are remembered after their removal,
+	// the latest born ones: a heartbeat is seconds late, not hours.
+	keptLifetimes = 16384
 	// keptStrikes bounds the digests with strikes.
 	keptStrikes = 1024
 )
@@ -45,6 +45,8 @@
 	Backends   map[shmodel.BackendServer]Backend `json:"backends,omitempty"`
 	// Ended holds the newest ended lifetime of each ID, by Born.
 	Ended map[shmodel.BackendServer]int64 `json:"ended,omitempty"`
+	// Lapsed holds the lifetimes that were removed as silent, by Born.
+	Lapsed map[shmodel.BackendServer]int64 `json:"lapsed,omitempty"`
 	// Removals are the last removed instances, the oldest first; what was
 	// removed up to RemovedUpTo is no longer listed.
 	Removals    []removal              `json:"removals,omitempty"`
@@ -182,18 +184,20 @@
 }
 
 func (s *State) removeBackend(i Instance, ended bool) {
-	if ended && i.Born >= s.Ended[i.ID] {
-		if s.Ended == nil {
-			s.Ended = map[shmodel.BackendServer]int64{}
-		}
-		s.Ended[i.ID] = i.Born
-		if len(s.Ended) > keptEnded {
-			s.forgetEnded()
-		}
+	known, listed := s.Backends[i.ID]
+	if i.Born == 0 {
+		// The lifetime that was heard of last.
+		i.Born = max(known.Born, s.Lapsed[i.ID])
+	}
+	if ended && i.Born > 0 && i.Born >= s.Ended[i.ID] {
+		s.Ended = remember(s.Ended, i)
 	}
-	if known, ok := s.Backends[i.ID]; !ok || known.Born > i.Born {
+	if !listed || known.Born > i.Born {
 		return
 	}
+	if !ended {
+		s.Lapsed = remember(s.Lapsed, i)
+	}
 	delete(s.Backends, i.ID)
 	s.Removals = append(s.Removals, removal{Instance: i, At: s.Index})
 	if drop := len(s.Removals) - keptRemovals; drop > 0 {
@@ -202,11 +206,19 @@
 	}
 }
 
-// forgetEnded drops the older half of the ended lifetimes.
-func (s *State) forgetEnded() {
-	born := slices.Sorted(maps.Values(s.Ended))
-	middle := born[len(born)/2]
-	maps.DeleteFunc(s.Ended, func(_ shmodel.BackendServer, at int64) bool { return at < middle })
+// remember adds a lifetime to a map and drops the older half of one that has
+// grown too large.
+func remember(lifetimes map[shmodel.BackendServer]int64, i Instance) map[shmodel.BackendServer]int64 {
+	if lifetimes == nil {
+		lifetimes = map[shmodel.BackendServer]int64{}
+	}
+	lifetimes[i.ID] = i.Born
+	if len(lifetimes) > keptLifetimes {
+		born := slices.Sorted(maps.Values(lifetimes))
+		middle := born[len(born)/2]
+		maps.DeleteFunc(lifetimes, func(_ shmodel.BackendServer, at int64) bool { return at < middle })
+	}
+	return lifetimes
 }
 
 func (s *State) putEntry(e Entry) {
--- a/coordination/shfleet/state_test.go
+++ b/coordination/shfleet/state_test.go
@@ -64,6 +64,7 @@
 func TestLifetimes(t *testing.T) {
 	end := shfleet.RemoveBackends{Instances: []shfleet.Instance{{ID: "x", Born: 10}}, Ended: true}
 	silent := shfleet.RemoveBackends{Instances: []shfleet.Instance{{ID: "x", Born: 10}}}
+	withdrawn := shfleet.RemoveBackends{Instances: []shfleet.Instance{{ID: "x"}}, Ended: true}
 	x := backend("x", 10, "1:1")
 	cases := []struct {
 		name     string
@@ -72,6 +73,9 @@
 	}{
 		{"ended, then late", []shfleet.Command{put(x), end, put(x)}, nil},
 		{"silent, then back", []shfleet.Command{put(x), silent, put(x)}, []shfleet.Backend{x}},
+		{"silent, withdrawn without its start, then late", []shfleet.Command{put(x), silent, withdrawn, put(x)}, nil},
+		{"withdrawn without its start, then late", []shfleet.Command{put(x), withdrawn, put(x)}, nil},
+		{"withdrawn while silent, then started again", []shfleet.Command{put(x), silent, withdrawn, put(backend("x", 11, "1:1"))}, []shfleet.Backend{backend("x", 11, "1:1")}},
 		{"leaving stays", []shfleet.Command{put(x), put(leaving(x)), put(x)}, []shfleet.Backend{leaving(x)}},
 		{"started again under its ID", []shfleet.Command{put(leaving(x)), put(backend("x", 11, "1:1"))}, []shfleet.Backend{backend("x", 11, "1:1")}},
 		{"earlier lifetime is late", []shfleet.Command{put(backend("x", 11, "1:1")), put(x)}, []shfleet.Backend{backend("x", 11, "1:1")}},
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -357,11 +357,6 @@
 func (r *Registry) handle() {
 	shpeer.Handle(r.config.Server, MethodPropose, r.commit)
 	shpeer.Handle(r.config.Server, methodWithdraw, func(ctx context.Context, w withdrawRequest) (none, error) {
-		if w.Born == 0 {
-			if err := r.store.Read(ctx, func() { w.Born = r.born(w.ID) }); err != nil || w.Born == 0 {
-				return none{}, err
-			}
-		}
 		data, err := shfleet.EncodeCommand(shfleet.RemoveBackends{
 			Instances: []shfleet.Instance{{ID: w.ID, Born: w.Born}}, Ended: true,
 		})
@@ -420,13 +415,6 @@
 	return r.state.ControlVMs()
 }
 
-func (r *Registry) born(id shmodel.BackendServer) int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	b, _ := r.state.Backend(id)
-	return b.Born
-}
-
 func (r *Registry) document() shfleet.Document {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/transport/shregistry/registry_test.go
+++ b/transport/shregistry/registry_test.go
@@ -210,3 +210,21 @@
 	// The stopped VM is stopped again at the end of the test.
 	vms[1].start(t)
 }
+
+// Guards against a backend server that counts as silent because the leader has
+// not yet heard of it from the VM that it announced itself to.
+func TestAnnouncedElsewhereStays(t *testing.T) {
+	vms := group(t)
+	w := observe(t, vms[0])
+	// The leader has led for longer than a backend server may be silent.
+	time.Sleep(3500 * time.Millisecond)
+	for i, v := range vms {
+		id := fmt.Sprint("b", i)
+		try(t, func(ctx context.Context) error { return v.Announce(ctx, announcement(id, 1)) })
+		eventually(t, "the observer knows it", func() bool { return w.View().Backends[shmodel.BackendServer(id)].Slots == 3 })
+		for range 70 {
+			time.Sleep(10 * time.Millisecond)
+			assert.Equal(t, w.View().Backends[shmodel.BackendServer(id)].Slots, 3, "%s was removed", id)
+		}
+	}
+}
--- a/transport/shregistry/watch.go
+++ b/transport/shregistry/watch.go
@@ -177,7 +177,9 @@
 	defer r.mu.Unlock()
 	var backends []shfleet.Instance
 	for id, b := range r.state.Backends {
-		if now.Sub(later(r.seenAt[id], r.leading)) > r.config.BackendSilence {
+		// The VM that took an announcement reports it as seen a little later.
+		heard := later(r.seenAt[id], r.announcedAt[id])
+		if now.Sub(later(heard, r.leading)) > r.config.BackendSilence {
 			backends = append(backends, b.Instance)
 		}
 	}
