Wait in one place, correct a comment

Three functions waited for a duration or the end of a context; callers in shregistry and shsteer now use the one of shleader. The comment of the look at kept connections spoke of an announcement that it does not make.

No change of behaviour.

--- a/transport/shleader/shleader.go
+++ b/transport/shleader/shleader.go
@@ -83,7 +83,7 @@
 			return none, &Error{Op: method, Kind: KindInvalid, Err: err}
 		}
 		if try%(len(known)+1) == len(known) {
-			sleep(ctx, retryPause)
+			Pause(ctx, retryPause)
 		}
 		if ctx.Err() != nil {
 			return none, &Error{Op: method, Kind: KindUnavailable, Err: last}
@@ -143,7 +143,8 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// Pause waits, or returns when the context ends.
+func Pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/transport/shregistry/watch.go
+++ b/transport/shregistry/watch.go
@@ -10,6 +10,7 @@
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shraft"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shleader"
 	"sequoiahollow/transport/shstore"
 )
 
@@ -35,7 +36,7 @@
 		select {
 		case <-changed:
 			if leading {
-				pause(ctx, coalesce)
+				shleader.Pause(ctx, coalesce)
 			}
 		case <-deadline.C:
 			if !leading {
@@ -53,15 +54,6 @@
 	return leader != "" && leader != r.config.VM
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (r *Registry) since(index uint64) (shfleet.Change, <-chan struct{}, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -12,6 +12,7 @@
 
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shaccount"
+	"sequoiahollow/transport/shleader"
 	"sequoiahollow/transport/shregistry"
 )
 
@@ -95,7 +96,7 @@
 				c.Log.Error("replicated state closed", "error", err)
 			}
 		}
-		sleep(ctx, reopenPause)
+		shleader.Pause(ctx, reopenPause)
 	}
 }
 
@@ -106,12 +107,12 @@
 		store, err := shaccount.OpenStore(shaccount.StoreOptions{Folder: filepath.Join(c.Settings.DataFolder, "account")})
 		if err != nil {
 			c.Log.Error("account not opened", "error", err)
-			sleep(ctx, reopenPause)
+			shleader.Pause(ctx, reopenPause)
 			continue
 		}
 		handleAccount(c.server, store)
 		for ctx.Err() == nil && store.Err() == nil {
-			sleep(ctx, reopenPause)
+			shleader.Pause(ctx, reopenPause)
 		}
 		if err := errors.Join(store.Err(), store.Close()); err != nil {
 			c.Log.Error("account closed", "error", err)
@@ -119,13 +120,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (c *Control) stop() {
 	began := time.Now()
 	c.Log.Info("control VM stops")
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -171,8 +171,7 @@
 	}
 }
 
-// prune closes kept connections that are too old, and announces the VM when it
-// has become ready.
+// prune closes kept connections that are too old.
 func (e *Entry) prune(ctx context.Context) {
 	ticker := time.NewTicker(pruneInterval)
 	defer ticker.Stop()
