Run a request with a strike alone while its solo run is in progress

Cause: an entry VM whose heartbeat came during the solo run of a digest knew it as busy, and the receiver ran only digests known as solo alone. Ruled out: a lost strike, a digest that differs, a probe that gives up.

--- a/coordination/shrequest/machine_test.go
+++ b/coordination/shrequest/machine_test.go
@@ -362,3 +362,18 @@
 	solo := ControlResult{Command: open, Result: shcontrol.SuspectResult{Statuses: []shcontrol.SuspectStatus{shcontrol.SuspectGranted}}}
 	has[Dispatch](t, x.Apply(at(70*ms), solo))
 }
+
+// Guards against a request that runs beside the solo run of the same digest: a
+// view that is taken meanwhile says that the digest is busy.
+func TestSuspectRunsAlone(t *testing.T) {
+	for _, status := range []shcontrol.SuspectStatus{shcontrol.SuspectSolo, shcontrol.SuspectBusy} {
+		r := NewReceiver(ReceiverOptions{Request: testRequest(shmodel.Idempotent), VM: "v", Region: "r"})
+		id := has[Choose](t, r.Apply(at(0), Admitted{Suspect: status, HedgeAfter: 30 * ms})).ID
+		r.Apply(at(0), ChoiceMade{ID: id, Choice: shrouting.Forward{VM: "w"}})
+		out := r.Apply(at(0), RecordCopied{Kind: shrecord.Opened})
+		assert.Assert(t, has[Forward](t, out).Solo, "%s", status)
+		if hedge, ok := find[StartTimer](out); ok {
+			hasNot[Choose](t, r.Apply(at(30*ms), TimerFired{ID: hedge.ID}))
+		}
+	}
+}
--- a/coordination/shrequest/receiver.go
+++ b/coordination/shrequest/receiver.go
@@ -238,7 +238,7 @@
 	}
 	first := len(r.attempts) == 0
 	number := uint32(len(r.attempts) + 1)
-	a := attempt{vm: r.VM, region: r.Region, solo: r.suspect == shcontrol.SuspectSolo, started: now}
+	a := attempt{vm: r.VM, region: r.Region, solo: r.mustRunAlone(), started: now}
 	var out []Effect
 	switch c := c.(type) {
 	case shrouting.ServeOwn:
@@ -344,6 +344,12 @@
 	}
 }
 
+// mustRunAlone reports whether the digest has a strike. A busy one waits for the
+// solo run in progress.
+func (r *Receiver) mustRunAlone() bool {
+	return r.suspect == shcontrol.SuspectSolo || r.suspect == shcontrol.SuspectBusy
+}
+
 func (r *Receiver) barBefore(number uint32) {
 	for i := range r.attempts[:number-1] {
 		if r.attempts[i].state == lost {
@@ -420,7 +426,7 @@
 	case r.deadlineID:
 		return r.onDeadline(now)
 	case r.hedgeID:
-		if r.stage == attempting && len(r.attempts) == 1 && r.streaming == 0 && r.suspect != shcontrol.SuspectSolo {
+		if r.stage == attempting && len(r.attempts) == 1 && r.streaming == 0 && !r.mustRunAlone() {
 			r.choiceID++
 			return []Effect{Choose{ID: r.choiceID, Tried: []shmodel.VM{r.attempts[0].vm}, Hedge: true}}
 		}
