Tell entry VMs of a crash ahead of the strike

Cause: during an election no strike can be committed, and a caller whose timeout passes resends through an entry VM that knows nothing: crash at 03.188 with the leader killed, the resend ran on a second backend server at 04.710, its solo run on a third at 05.267.

--- a/protocol/shwire/peer.go
+++ b/protocol/shwire/peer.go
@@ -26,6 +26,8 @@
 	MethodCredit = "slot.credit"
 	// MethodSlots takes a SlotReport to an entry VM of the region.
 	MethodSlots = "slot.report"
+	// MethodCrash takes a CrashNotice to an entry VM.
+	MethodCrash = "slot.crash"
 	// MethodAccountAppend takes a batch of account records to an account VM.
 	MethodAccountAppend = "account.append"
 	// MethodAccountRead reads a page of account records.
@@ -127,6 +129,12 @@
 	Services map[shmodel.Service]shdirectory.Slots `json:"services"`
 }
 
+// CrashNotice says that a backend server crashed while it ran requests with these
+// digests. It comes ahead of the strikes.
+type CrashNotice struct {
+	Digests []shmodel.Digest `json:"digests"`
+}
+
 // LeaderHint is the data of an error that says that a control VM does not lead.
 type LeaderHint struct {
 	VM      shmodel.VM `json:"vm,omitempty"`
--- /dev/null
+++ b/transport/shdaemon/crash.go
@@ -0,0 +1,60 @@
+package shdaemon
+
+import (
+	"context"
+	"time"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/coordination/shdirectory"
+	"sequoiahollow/coordination/shslot"
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/transport/shpeer"
+)
+
+// crashReportTimeout bounds the report of a crash. It survives an election.
+// The requests that were running wait for it, up to the time that
+// shrequest.Executor waits for a verdict.
+const crashReportTimeout = 10 * time.Second
+
+// reportCrash commits the strikes of a suspected crash and waits until the next
+// heartbeats of all entry VMs have brought them along.
+func (d *daemon) reportCrash(c shslot.CrashSuspected) {
+	d.log.Warn("backend server is suspected to have crashed", "backendServer", c.BackendServer, "requests", len(c.Digests), "solo", c.Solo)
+	if len(c.Digests) == 0 {
+		return
+	}
+	d.noticeCrash(c)
+	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+	defer cancel()
+	_, err := d.proposer.Propose(ctx, shcontrol.ReportCrash{BackendServer: c.BackendServer, Digests: c.Digests, Solo: c.Solo})
+	if err != nil {
+		d.log.Error("strike was not committed", "backendServer", c.BackendServer, "error", err)
+		return
+	}
+	d.syncer.Wake()
+	time.Sleep(shdirectory.HeartbeatInterval)
+}
+
+// noticeCrash tells all entry VMs at once: a caller that gives up resends the
+// request through another one, which the strike may reach too late.
+func (d *daemon) noticeCrash(c shslot.CrashSuspected) {
+	notice := shwire.CrashNotice{Digests: c.Digests}
+	d.entry.Presumed.Add(time.Now(), c.Digests)
+	for _, h := range d.syncer.View().Entries {
+		if h.VM == d.settings.VM {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			if err := shpeer.Notify(ctx, d.client, h.PeerAddress, shwire.MethodCrash, notice); err != nil {
+				d.log.Warn("entry VM not told of a crash; it learns of the strike later", "vm", h.VM, "error", err)
+			}
+		}()
+	}
+}
+
+func (d *daemon) takeCrashNotice(_ context.Context, n shwire.CrashNotice) (shwire.Empty, error) {
+	d.entry.Presumed.Add(time.Now(), n.Digests)
+	return shwire.Empty{}, nil
+}
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -20,7 +20,6 @@
 	"sequoiahollow/coordination/shdirectory"
 	"sequoiahollow/coordination/shreplication"
 	"sequoiahollow/coordination/shrouting"
-	"sequoiahollow/coordination/shslot"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
@@ -40,11 +39,7 @@
 	// the configuration or the directory.
 	refreshInterval = 200 * time.Millisecond
 	callTimeout     = 500 * time.Millisecond
-	// crashReportTimeout bounds the report of a crash. It survives an election.
-	// The requests that were running wait for it, up to the time that
-	// shrequest.Executor waits for a verdict.
-	crashReportTimeout = 10 * time.Second
-	initialReserve     = 0.2
+	initialReserve  = 0.2
 )
 
 // listen opens the listeners of a process. Tests replace it to listen behind a
@@ -188,6 +183,7 @@
 	d.entry.Init()
 	shpeer.Handle(d.server, shwire.MethodCredit, d.lendCredit)
 	shpeer.Handle(d.server, shwire.MethodSlots, d.takeSlotReport)
+	shpeer.Handle(d.server, shwire.MethodCrash, d.takeCrashNotice)
 	shpeer.Handle(d.server, shwire.MethodBurn, d.readBurn)
 }
 
@@ -326,24 +322,6 @@
 	return shwire.Empty{}, nil
 }
 
-// reportCrash commits the strikes of a suspected crash and waits until the next
-// heartbeats of all entry VMs have brought them along.
-func (d *daemon) reportCrash(c shslot.CrashSuspected) {
-	d.log.Warn("backend server is suspected to have crashed", "backendServer", c.BackendServer, "requests", len(c.Digests), "solo", c.Solo)
-	if len(c.Digests) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
-	defer cancel()
-	_, err := d.proposer.Propose(ctx, shcontrol.ReportCrash{BackendServer: c.BackendServer, Digests: c.Digests, Solo: c.Solo})
-	if err != nil {
-		d.log.Error("strike was not committed", "backendServer", c.BackendServer, "error", err)
-		return
-	}
-	d.syncer.Wake()
-	time.Sleep(shdirectory.HeartbeatInterval)
-}
-
 // controlAddresses lists the control VMs, the nearest first.
 func controlAddresses(s shsettings.Settings) []string {
 	var near [3][]string
--- a/transport/shdaemon/faults_test.go
+++ b/transport/shdaemon/faults_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -260,6 +261,17 @@
 // A request that crashes backend servers must not be passed on to one after
 // the other, and innocent requests beside it must not be refused for it.
 func TestCrashingRequest(t *testing.T) {
+	crashEverywhere(t, func(*deployment) {})
+}
+
+// Guards against backend servers that crash one after the other while no leader
+// can record the first strike.
+func TestCrashingRequestDuringElection(t *testing.T) {
+	crashEverywhere(t, func(d *deployment) { d.kill(d.leader("")) })
+}
+
+// crashEverywhere sends one crashing request to each entry VM after a fault.
+func crashEverywhere(t *testing.T, fault func(*deployment)) {
 	d := deploy(t, false)
 	d.backends(south, north, victoria)
 	for _, region := range []shmodel.Region{south, north, victoria} {
@@ -271,6 +283,7 @@
 		Service: records, Method: http.MethodGet, URI: "/read/crash", Timeout: 1500 * time.Millisecond,
 		Header: http.Header{shbackend.HeaderFault: {shbackend.FaultCrash}},
 	}
+	fault(d)
 	for _, v := range d.running() {
 		d.history.do(d.only(v), crash)
 	}
@@ -290,6 +303,9 @@
 		}
 	}
 	d.history.mu.Unlock()
+	if len(crashed) > 2 {
+		d.trace(crash.URI)
+	}
 	assert.Assert(t, len(crashed) > 0 && len(crashed) <= 2, "crashed: %v", crashed)
 	for uri := range innocent {
 		again := shcaller.Request{Service: records, Method: http.MethodGet, URI: uri, Timeout: 2 * time.Second}
@@ -302,6 +318,34 @@
 	d.check()
 }
 
+// trace logs what became of a path, and what the daemons said of crashes.
+func (d *deployment) trace(uri string) {
+	d.history.mu.Lock()
+	defer d.history.mu.Unlock()
+	for _, s := range d.history.sends {
+		if s.request.URI == uri {
+			d.t.Logf("%s to %s sent, %s %d %s", s.begun.Format(traceTime), s.ended.Format(traceTime), s.answer.Outcome, s.answer.Status, s.answer.Body)
+		}
+	}
+	for _, l := range d.history.lines {
+		if l.Path == uri {
+			d.t.Logf("%s %s %+v", l.At.Format(traceTime), l.BackendServer, l)
+		}
+	}
+	for _, v := range d.vms {
+		data, err := os.ReadFile(d.logOf(v))
+		assert.NilError(d.t, err)
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, "crash") || strings.Contains(line, "strike") {
+				d.t.Logf("%s: %s", v.settings.VM, line)
+			}
+		}
+	}
+}
+
+// traceTime shows milliseconds.
+const traceTime = "05.000"
+
 // A backend server that leaves must get nothing new after 2 s, and lies in
 // announcements must not lead to more requests than slots.
 func TestAnnouncements(t *testing.T) {
--- a/transport/shentry/entry.go
+++ b/transport/shentry/entry.go
@@ -43,6 +43,8 @@
 	// a slot in another region was lent but the link had no room.
 	Observe func(end shrecord.Record, linkCap bool)
 	Log     *slog.Logger
+	// Presumed holds crashes that other entry VMs reported.
+	Presumed shview.Presumed
 
 	backends *Dispatcher
 	peers    *Dispatcher
--- /dev/null
+++ b/transport/shview/presumed_test.go
@@ -0,0 +1,28 @@
+package shview
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/state/shmodel"
+)
+
+// Guards against a reported crash that is forgotten before its strike can be
+// committed, and against one that outlives its strike or the strike's end.
+func TestPresumed(t *testing.T) {
+	var p Presumed
+	start := time.Unix(1_700_000_000, 0)
+	digest := shmodel.Digest{1}
+	none := &View{}
+	struck := &View{Suspects: map[shmodel.Digest]shcontrol.SuspectStatus{digest: shcontrol.SuspectQuarantined}}
+	assert.Equal(t, p.Status(start, none, digest), shcontrol.SuspectNone)
+	p.Add(start, []shmodel.Digest{digest})
+	assert.Equal(t, p.Status(start.Add(2*time.Second), none, digest), shcontrol.SuspectSolo)
+	assert.Equal(t, p.Status(start.Add(4*time.Second), none, digest), shcontrol.SuspectNone)
+	p.Add(start, []shmodel.Digest{digest})
+	assert.Equal(t, p.Status(start, struck, digest), shcontrol.SuspectQuarantined)
+	assert.Equal(t, p.Status(start, none, digest), shcontrol.SuspectNone, "cleared after the strike was known")
+}
