--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -15,6 +15,7 @@
 // Balancer chooses backend servers. Make one with New.
 type Balancer struct {
 	place Place
+	own   uint64 // hash of the VM
 
 	mu        sync.Mutex
 	nodes     map[shmodel.BackendServer]*node
@@ -58,6 +59,7 @@
 func New(place Place) *Balancer {
 	return &Balancer{
 		place:    place,
+		own:      xxhash.Sum64String(string(place.VM)),
 		nodes:    map[shmodel.BackendServer]*node{},
 		services: map[shmodel.Service][]*node{},
 		routes:   map[string]*routeTimes{},
@@ -147,7 +149,8 @@
 // no choice it returns why.
 func (b *Balancer) compare(now time.Time, r Request, t *routeTimes, k *key) (best, target *Choice, refusal *Refusal) {
 	nodes := b.candidates(now, r)
-	a := b.anchor(nodes, k.hash)
+	a := b.anchor(nodes, k)
+	tie := mix(k.hash, b.own) // spreads entry VMs over equal homes
 	pressure := pressureOf(now, nodes)
 	refusal = &Refusal{Reason: NoBackend, RetryAfter: firstSuspension}
 	var bestNode *node
@@ -161,7 +164,7 @@
 			continue
 		}
 		c.loss = b.loss(now, n, r, c.Estimate)
-		if best == nil || c.loss < best.loss || (c.loss == best.loss && prefers(k.hash, n, bestNode)) {
+		if best == nil || c.loss < best.loss || (c.loss == best.loss && prefers(tie, n, bestNode)) {
 			best, bestNode = &c, n
 		}
 		if c.Warm || c.home || c.queued || pressure > spillUntil || !a.includes(n) {
@@ -273,7 +276,7 @@
 	case known || !r.Route.Sticky:
 		c.Warm = true
 		expected = warm
-	case a.home == n:
+	case slices.Contains(a.homes, n):
 		// A cold run is needed somewhere, and this is the place for it.
 		c.home = true
 		expected = warm
--- a/coordination/shbalance/balancer_test.go
+++ b/coordination/shbalance/balancer_test.go
@@ -294,3 +294,25 @@
 	assert.Assert(t, inOneSecond(now.Add(2*time.Second)) <= 4)
 	assert.Equal(t, inOneSecond(now.Add(3*time.Second)), 100)
 }
+
+// Guards against the load of a key that all entry VMs of a large fleet send to
+// one backend server, since none of them sees enough of it to move away, and
+// against a second cold run for each key in a small fleet.
+func TestHomesByFleetSize(t *testing.T) {
+	for entries, want := range map[int]int{7: 1, 27: 2} {
+		v := fleet(4)
+		v.Entries = nil
+		for i := range entries {
+			v.Entries = append(v.Entries, shfleet.Entry{VM: shmodel.VM(fmt.Sprintf("e%d", i)), Ready: true})
+		}
+		most := 0
+		for key := range 40 {
+			homes := map[shmodel.BackendServer]bool{}
+			for _, e := range v.Entries {
+				homes[pick(t, balancer(e.VM, "n1", v), start, request(fmt.Sprint(key))).Backend.ID] = true
+			}
+			most = max(most, len(homes))
+		}
+		assert.Equal(t, most, want, "homes of a key with %d entry VMs", entries)
+	}
+}
--- a/coordination/shbalance/key.go
+++ b/coordination/shbalance/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,50 +66,84 @@
 	return k
 }
 
-// anchors are the backend servers that rendezvous hashing names for a key, nil
-// if there is none to use.
+// anchors are the backend servers that rendezvous hashing names for a key.
 type anchors struct {
-	// home and backup are the first two of all.
-	home, backup *node
-	// inRegion and inZone are the first in the place of the entry VM.
+	// homes are the first ones of all, on which the entry VMs of a region agree.
+	homes []*node
+	// backup follows the homes, nil if there is none.
+	backup *node
+	// inRegion and inZone are the first in the place of the entry VM, nil if
+	// there is none to use.
 	inRegion, inZone *node
 }
 
 func (a anchors) includes(n *node) bool {
-	return n == a.home || n == a.backup || n == a.inRegion || n == a.inZone
+	return n == a.backup || n == a.inRegion || n == a.inZone || slices.Contains(a.homes, n)
 }
 
-func (b *Balancer) anchor(nodes []*node, hash uint64) anchors {
+// anchor returns the anchors of a key among the backend servers that may be used.
+func (b *Balancer) anchor(nodes []*node, k *key) anchors {
 	var a anchors
+	copies := b.copies()
 	for _, n := range nodes {
-		if n.region == b.place.Region && prefers(hash, n, a.inRegion) {
+		if n.region == b.place.Region && prefers(k.hash, n, a.inRegion) {
 			a.inRegion = n
 		}
-		if n.backend.Zone == b.place.Zone && prefers(hash, n, a.inZone) {
+		if n.backend.Zone == b.place.Zone && prefers(k.hash, n, a.inZone) {
 			a.inZone = n
 		}
-		switch {
-		case b.ranks(hash, n, a.home):
-			a.home, a.backup = n, a.home
-		case b.ranks(hash, n, a.backup):
-			a.backup = n
-		}
+	}
+	first := b.first(nodes, k.hash, copies+1)
+	if len(first) > copies {
+		a.homes, a.backup = first[:copies], first[copies]
+	} else {
+		a.homes = first
 	}
 	return a
 }
 
+// copies returns the number of homes of a key.
+func (b *Balancer) copies() int {
+	if len(b.entries) >= manyEntries {
+		return homesOfMany
+	}
+	return 1
+}
+
+// first returns the backend servers that come first in the order of hashing.
+func (b *Balancer) first(nodes []*node, hash uint64, count int) []*node {
+	type ranked struct {
+		node *node
+		rank float64
+	}
+	best := make([]ranked, 0, count+1)
+	for _, n := range nodes {
+		x := ranked{node: n, rank: b.rank(hash, n)}
+		i := len(best)
+		for i > 0 && best[i-1].rank < x.rank {
+			i--
+		}
+		if i == count {
+			continue
+		}
+		best = slices.Insert(best, i, x)
+		best = best[:min(len(best), count)]
+	}
+	list := make([]*node, len(best))
+	for i, x := range best {
+		list[i] = x.node
+	}
+	return list
+}
+
 // prefers reports whether a node comes before another one, which may be nil, in
 // the order of hashing.
 func prefers(hash uint64, n, other *node) bool {
 	return other == nil || mix(hash, n.hash) > mix(hash, other.hash)
 }
 
-// ranks is prefers with the backend servers of the own region nearWeight times
-// as likely to come first as others.
-func (b *Balancer) ranks(hash uint64, n, other *node) bool {
-	return other == nil || b.rank(hash, n) > b.rank(hash, other)
-}
-
+// rank orders backend servers for a key, with those of the own region nearWeight
+// times as likely to come first as others.
 func (b *Balancer) rank(hash uint64, n *node) float64 {
 	u := (float64(mix(hash, n.hash)>>11) + 1) / (1 << 53)
 	weight := 1.0
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -4,10 +4,12 @@
 //
 // A backend server answers faster what it has handled recently. So requests with
 // the same key should meet the same few backend servers, without any talk
-// between entry VMs. Rendezvous hashing names the anchors of a key: its home and
-// its backup among all backend servers, on which all entry VMs agree, and the
-// first ones in the region and in the failure domain of the entry VM. Other
-// backend servers are used when these cannot be.
+// between entry VMs. Rendezvous hashing names the anchors of a key: its homes and
+// its backup among all backend servers, on which the entry VMs of a region agree,
+// and the first ones in the region and in the failure domain of the entry VM.
+// Other backend servers are used when these cannot be. A fleet of few entry VMs
+// has one home a key; in a larger one two share the load, since no entry VM sees
+// enough of it to move away in time.
 //
 // A Balancer estimates for each candidate when the answer would come: the wait
 // for a slot, the service time (learned per route, for keys that the backend
@@ -100,6 +102,11 @@
 	// nearWeight is how much likelier a backend server of the own region is the
 	// home of a key than another one.
 	nearWeight = 3
+	// manyEntries is the number of entry VMs from which each of them sees too
+	// few answers of a backend server to leave a busy home in time; keys then
+	// have homesOfMany homes. The sites have 7, 27 and 34.
+	manyEntries = 16
+	homesOfMany = 2
 	// maxKeys bounds the keys of a route that are remembered.
 	maxKeys = 4096
 	// backupPart makes the backup of a key the first choice among backend
--- /dev/null
+++ b/coordination/shbalance/sim_test.go
@@ -0,0 +1,309 @@
+package shbalance_test
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sequoiahollow/coordination/shbalance"
+	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/state/shmodel"
+)
+
+// site is a service of a deployment in small: entry VMs and backend servers by
+// zone, callers that ask for objects, and the latencies between them.
+type site struct {
+	zones    []shmodel.FailureDomain
+	regions  map[shmodel.FailureDomain]shmodel.Region
+	entries  []int // by zone
+	backends []int // by zone
+	slots    int
+	memory   int // objects that a backend server stays warm for
+	objects  int
+	rate     float64 // requests per second and zone
+	cold     time.Duration
+	warm     time.Duration
+	aim      time.Duration
+	deadline time.Duration
+	inRegion time.Duration // one way
+	between  time.Duration // one way
+}
+
+// outcome counts requests.
+type outcome struct {
+	total, inTime, late, refused, coldRuns, otherZone, otherRegion int
+}
+
+func (o *outcome) add(p outcome) {
+	o.total += p.total
+	o.inTime += p.inTime
+	o.late += p.late
+	o.refused += p.refused
+	o.coldRuns += p.coldRuns
+	o.otherZone += p.otherZone
+	o.otherRegion += p.otherRegion
+}
+
+func (o *outcome) report(b *testing.B) {
+	for name, n := range map[string]int{
+		"in-time": o.inTime, "late": o.late, "refused": o.refused, "cold": o.coldRuns,
+		"other-zone": o.otherZone, "other-region": o.otherRegion,
+	} {
+		b.ReportMetric(float64(n)/float64(o.total), name)
+	}
+	b.ReportMetric(0, "ns/op")
+}
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type queue []event
+
+func (q queue) Len() int           { return len(q) }
+func (q queue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q queue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// server is a simulated backend server with a memory of the objects used last.
+type server struct {
+	zone    shmodel.FailureDomain
+	running int
+	waiting []func()
+	known   map[string]time.Duration
+}
+
+type world struct {
+	site
+	random  *rand.Rand
+	now     time.Duration
+	events  queue
+	servers map[shmodel.BackendServer]*server
+	result  outcome
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	heap.Push(&w.events, event{w.now + d, do})
+}
+
+func (w *world) wall() time.Time { return start.Add(w.now) }
+
+func (w *world) trip(a, b shmodel.FailureDomain) time.Duration {
+	switch {
+	case a == b:
+		return 100 * time.Microsecond
+	case w.regions[a] == w.regions[b]:
+		return w.inRegion
+	}
+	return w.between
+}
+
+// simulate plays a service for a time.
+func simulate(s site, length time.Duration, seed uint64) outcome {
+	w := &world{site: s, random: rand.New(rand.NewPCG(seed, 1)), servers: map[shmodel.BackendServer]*server{}}
+	v := shfleet.View{Index: 1, Backends: map[shmodel.BackendServer]shfleet.Backend{}}
+	v.Table = shfleet.NewIndex(shfleet.Table{Services: []shfleet.Service{{Name: "s"}}})
+	for i, zone := range s.zones {
+		for n := range s.backends[i] {
+			id := shmodel.BackendServer(fmt.Sprintf("i-%x", w.random.Uint64()))
+			w.servers[id] = &server{zone: zone, known: map[string]time.Duration{}}
+			v.Backends[id] = shfleet.Backend{
+				Instance: shfleet.Instance{ID: id, Born: int64(n) + 1}, Service: "s", Address: string(id), Zone: zone, Slots: s.slots,
+			}
+		}
+		for n := range s.entries[i] {
+			v.Entries = append(v.Entries, shfleet.Entry{VM: shmodel.VM(fmt.Sprintf("%s-%d", zone, n)), Zone: zone, Region: s.regions[zone], Ready: true})
+		}
+	}
+	balancers := map[shmodel.FailureDomain][]*shbalance.Balancer{}
+	for _, e := range v.Entries {
+		b := shbalance.New(shbalance.Place{VM: e.VM, Zone: e.Zone, Region: e.Region, Regions: s.regions})
+		b.Update(start, v)
+		balancers[e.Zone] = append(balancers[e.Zone], b)
+	}
+	weights := make([]float64, s.objects)
+	total := 0.0
+	for i := range weights {
+		total += math.Pow(float64(i+1), -0.2)
+		weights[i] = total
+	}
+	for _, zone := range s.zones {
+		var arrive func()
+		arrive = func() {
+			x := w.random.Float64() * total
+			object := 0
+			for weights[object] < x {
+				object++
+			}
+			list := balancers[zone]
+			w.request(list[w.random.IntN(len(list))], zone, fmt.Sprint(object))
+			w.after(time.Duration(w.random.ExpFloat64()/s.rate*float64(time.Second)), arrive)
+		}
+		w.after(0, arrive)
+	}
+	for len(w.events) > 0 && w.now < length {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	return w.result
+}
+
+func (w *world) request(b *shbalance.Balancer, zone shmodel.FailureDomain, object string) {
+	r := request(object)
+	r.Route.Objective = shfleet.Millis(w.aim.Milliseconds())
+	r.Left = w.deadline
+	c, refusal := b.Pick(w.wall(), r)
+	w.result.total++
+	if refusal != nil {
+		w.result.refused++
+		return
+	}
+	s := w.servers[c.Backend.ID]
+	if s.zone != zone {
+		w.result.otherZone++
+		if w.regions[s.zone] != w.regions[zone] {
+			w.result.otherRegion++
+		}
+	}
+	begun, trip := w.now, w.trip(zone, s.zone)
+	w.after(trip, func() {
+		w.arrive(s, object, func(o shbalance.Observation) {
+			w.after(trip, func() {
+				b.Done(w.wall(), c, o)
+				if w.now-begun <= w.aim {
+					w.result.inTime++
+				} else {
+					w.result.late++
+				}
+			})
+		})
+	})
+}
+
+// arrive queues a request at a backend server.
+func (w *world) arrive(s *server, object string, done func(shbalance.Observation)) {
+	load := func() *shbalance.Load {
+		return &shbalance.Load{Running: s.running, Waiting: len(s.waiting), Slots: w.slots}
+	}
+	run := func() {
+		s.running++
+		took := w.cold
+		if _, ok := s.known[object]; ok {
+			took = w.warm
+		} else {
+			w.result.coldRuns++
+		}
+		took = time.Duration(float64(took) * math.Exp(0.15*w.random.NormFloat64()))
+		w.after(took, func() {
+			s.running--
+			w.learn(s, object)
+			done(shbalance.Answered{Load: load()})
+			if len(s.waiting) > 0 {
+				next := s.waiting[0]
+				s.waiting = s.waiting[1:]
+				next()
+			}
+		})
+	}
+	switch {
+	case s.running < w.slots:
+		run()
+	case len(s.waiting) < 3*w.slots:
+		s.waiting = append(s.waiting, run)
+	default:
+		done(shbalance.Shed{Load: load()})
+	}
+}
+
+func (w *world) learn(s *server, object string) {
+	s.known[object] = w.now
+	if len(s.known) <= w.memory {
+		return
+	}
+	oldest := object
+	for o, at := range s.known {
+		if at < s.known[oldest] {
+			oldest = o
+		}
+	}
+	delete(s.known, oldest)
+}
+
+var sixZones = []shmodel.FailureDomain{"s-a", "n-a", "m-a", "s-b", "n-b", "m-b"}
+
+var sixRegions = map[shmodel.FailureDomain]shmodel.Region{"s-a": "s", "s-b": "s", "n-a": "n", "n-b": "n", "m-a": "m", "m-b": "m"}
+
+var nineZones = []shmodel.FailureDomain{"s-a", "n-a", "m-a", "s-b", "n-b", "m-b", "s-c", "n-c", "m-c"}
+
+var nineRegions = map[shmodel.FailureDomain]shmodel.Region{
+	"s-a": "s", "s-b": "s", "s-c": "s", "n-a": "n", "n-b": "n", "n-c": "n", "m-a": "m", "m-b": "m", "m-c": "m",
+}
+
+func sites() map[string]site {
+	return map[string]site{
+		"small": {
+			zones: sixZones, regions: sixRegions, entries: []int{2, 1, 1, 1, 1, 1}, backends: []int{3, 4, 1, 3, 4, 1},
+			slots: 3, memory: 18, objects: 24, rate: 11, cold: 880 * time.Millisecond, warm: 264 * time.Millisecond,
+			aim: 600 * time.Millisecond, deadline: 4 * time.Second, inRegion: 1400 * time.Microsecond, between: 12 * time.Millisecond,
+		},
+		"grown audit": {
+			zones: sixZones, regions: sixRegions, entries: []int{5, 5, 4, 5, 4, 4}, backends: []int{18, 22, 4, 18, 22, 4},
+			slots: 3, memory: 9, objects: 70, rate: 56, cold: 1160 * time.Millisecond, warm: 348 * time.Millisecond,
+			aim: 800 * time.Millisecond, deadline: 6 * time.Second, inRegion: 1400 * time.Microsecond, between: 12 * time.Millisecond,
+		},
+		"grown method": {
+			zones: sixZones, regions: sixRegions, entries: []int{5, 5, 4, 5, 4, 4}, backends: []int{3, 4, 1, 3, 4, 1},
+			slots: 3, memory: 31, objects: 43, rate: 35, cold: 352 * time.Millisecond, warm: 106 * time.Millisecond,
+			aim: 250 * time.Millisecond, deadline: 2 * time.Second, inRegion: 1400 * time.Microsecond, between: 12 * time.Millisecond,
+		},
+		"leadlight proof": {
+			zones: sixZones, regions: sixRegions, entries: []int{2, 1, 1, 1, 1, 1}, backends: []int{4, 1, 4, 4, 1, 4},
+			slots: 9, memory: 70, objects: 101, rate: 80, cold: 480 * time.Millisecond, warm: 144 * time.Millisecond,
+			aim: 400 * time.Millisecond, deadline: 2500 * time.Millisecond, inRegion: 1400 * time.Microsecond, between: 35 * time.Millisecond,
+		},
+		"leadlight grown proof": {
+			zones: nineZones, regions: nineRegions, entries: []int{4, 4, 4, 4, 4, 4, 4, 3, 3}, backends: []int{55, 11, 46, 55, 11, 46, 55, 11, 46},
+			slots: 9, memory: 12, objects: 225, rate: 120, cold: 2880 * time.Millisecond, warm: 864 * time.Millisecond,
+			aim: 2 * time.Second, deadline: 15 * time.Second, inRegion: 1400 * time.Microsecond, between: 35 * time.Millisecond,
+		},
+		"leadlight grown glass": {
+			zones: nineZones, regions: nineRegions, entries: []int{4, 4, 4, 4, 4, 4, 4, 3, 3}, backends: []int{14, 3, 11, 14, 3, 11, 14, 3, 11},
+			slots: 9, memory: 18, objects: 81, rate: 44, cold: 2040 * time.Millisecond, warm: 612 * time.Millisecond,
+			aim: 1500 * time.Millisecond, deadline: 10 * time.Second, inRegion: 1400 * time.Microsecond, between: 35 * time.Millisecond,
+		},
+		"grown": {
+			zones: sixZones, regions: sixRegions, entries: []int{5, 5, 4, 5, 4, 4}, backends: []int{31, 37, 8, 31, 37, 8},
+			slots: 3, memory: 12, objects: 157, rate: 126, cold: 880 * time.Millisecond, warm: 264 * time.Millisecond,
+			aim: 600 * time.Millisecond, deadline: 4 * time.Second, inRegion: 1400 * time.Microsecond, between: 12 * time.Millisecond,
+		},
+	}
+}
+
+// BenchmarkSite plays services of the sites in small, without faults, and reports
+// the shares of requests that ended in time or late, ran cold, and left the
+// failure domain or the region.
+func BenchmarkSite(b *testing.B) {
+	all := sites()
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		b.Run(name, func(b *testing.B) {
+			var o outcome
+			for i := range b.N {
+				o.add(simulate(all[name], 24*time.Second, uint64(i+1)))
+			}
+			o.report(b)
+		})
+	}
+}
