Host the keys of a region by its share of the slots

A region now hosts its keys in proportion to its slots and hands the rest to regions with slots to spare; in large fleets the two homes lie in different failure domains. Late answers log their key.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -149,7 +149,7 @@
 // no choice it returns why.
 func (b *Balancer) compare(now time.Time, r Request, t *routeTimes, k *key) (best, target *Choice, refusal *Refusal) {
 	nodes := b.candidates(now, r)
-	a := b.anchor(nodes, k)
+	a := b.anchor(nodes, k.hash)
 	tie := mix(k.hash, b.own) // spreads entry VMs over equal homes
 	pressure := pressureOf(now, nodes)
 	refusal = &Refusal{Reason: NoBackend, RetryAfter: firstSuspension}
@@ -332,12 +332,3 @@
 	}
 	return t
 }
-
-// mix combines two hashes for rendezvous hashing.
-func mix(a, b uint64) uint64 {
-	h := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	return h
-}
--- a/coordination/shbalance/key.go
+++ b/coordination/shbalance/key.go
@@ -66,74 +66,78 @@
 	return k
 }
 
-// anchors are the backend servers that rendezvous hashing names for a key.
+// anchors are the backend servers that hashing names for a key. All entry VMs of
+// a region name the same ones.
 type anchors struct {
-	// homes are the first ones of all, on which the entry VMs of a region agree.
 	homes []*node
-	// backup follows the homes, nil if there is none.
+	// backup comes after the homes, nil if there is none.
 	backup *node
-	// inRegion and inZone are the first in the place of the entry VM, nil if
-	// there is none to use.
-	inRegion, inZone *node
 }
 
-func (a anchors) includes(n *node) bool {
-	return n == a.backup || n == a.inRegion || n == a.inZone || slices.Contains(a.homes, n)
-}
+func (a anchors) includes(n *node) bool { return n == a.backup || slices.Contains(a.homes, n) }
 
 // anchor returns the anchors of a key among the backend servers that may be used.
-func (b *Balancer) anchor(nodes []*node, k *key) anchors {
+func (b *Balancer) anchor(nodes []*node, hash uint64) anchors {
+	region := b.host(nodes, hash)
+	copies := 1
+	if region == b.place.Region && len(b.entries) >= manyEntries {
+		copies = homesOfMany
+	}
 	var a anchors
-	copies := b.copies()
-	for _, n := range nodes {
-		if n.region == b.place.Region && prefers(k.hash, n, a.inRegion) {
-			a.inRegion = n
+	var zones []shmodel.FailureDomain
+	for range copies {
+		home := first(nodes, hash, func(n *node) bool {
+			return n.region == region && !slices.Contains(zones, n.backend.Zone)
+		})
+		if home == nil {
+			break
 		}
-		if n.backend.Zone == b.place.Zone && prefers(k.hash, n, a.inZone) {
-			a.inZone = n
-		}
-	}
-	first := b.first(nodes, k.hash, copies+1)
-	if len(first) > copies {
-		a.homes, a.backup = first[:copies], first[copies]
-	} else {
-		a.homes = first
+		a.homes = append(a.homes, home)
+		zones = append(zones, home.backend.Zone)
 	}
+	a.backup = first(nodes, hash, func(n *node) bool { return n.region == region && !slices.Contains(a.homes, n) })
 	return a
 }
 
-// copies returns the number of homes of a key.
-func (b *Balancer) copies() int {
-	if len(b.entries) >= manyEntries {
-		return homesOfMany
+// host returns the region whose backend servers a key is spread over: the own
+// one, unless it has less than its share of the slots. Then it keeps that part of
+// the keys, and the others go to the regions that have more than theirs.
+func (b *Balancer) host(nodes []*node, hash uint64) shmodel.Region {
+	slots := map[shmodel.Region]float64{}
+	total := 0.0
+	for _, n := range nodes {
+		slots[n.region] += float64(n.backend.Slots)
+		total += float64(n.backend.Slots)
 	}
-	return 1
-}
-
-// first returns the backend servers that come first in the order of hashing.
-func (b *Balancer) first(nodes []*node, hash uint64, count int) []*node {
-	type ranked struct {
-		node *node
-		rank float64
+	fair := total / float64(max(len(slots), 1))
+	if own := slots[b.place.Region]; own > 0 && unit(mix(hash, hostSalt))*fair <= own {
+		return b.place.Region
 	}
-	best := make([]ranked, 0, count+1)
-	for _, n := range nodes {
-		x := ranked{node: n, rank: b.rank(hash, n)}
-		i := len(best)
-		for i > 0 && best[i-1].rank < x.rank {
-			i--
-		}
-		if i == count {
+	var host shmodel.Region
+	best := math.Inf(-1)
+	for region, n := range slots {
+		if region == b.place.Region {
 			continue
 		}
-		best = slices.Insert(best, i, x)
-		best = best[:min(len(best), count)]
+		spare := max(n-fair, leastSpare*fair)
+		rank := -spare / math.Log(unit(mix(hash, xxhash.Sum64String(string(region)))))
+		if rank > best {
+			host, best = region, rank
+		}
 	}
-	list := make([]*node, len(best))
-	for i, x := range best {
-		list[i] = x.node
+	return host
+}
+
+// first returns the backend server that comes first in the order of hashing, nil
+// if none is eligible.
+func first(nodes []*node, hash uint64, eligible func(*node) bool) *node {
+	var best *node
+	for _, n := range nodes {
+		if eligible(n) && prefers(hash, n, best) {
+			best = n
+		}
 	}
-	return list
+	return best
 }
 
 // prefers reports whether a node comes before another one, which may be nil, in
@@ -142,13 +146,14 @@
 	return other == nil || mix(hash, n.hash) > mix(hash, other.hash)
 }
 
-// rank orders backend servers for a key, with those of the own region nearWeight
-// times as likely to come first as others.
-func (b *Balancer) rank(hash uint64, n *node) float64 {
-	u := (float64(mix(hash, n.hash)>>11) + 1) / (1 << 53)
-	weight := 1.0
-	if n.region == b.place.Region {
-		weight = nearWeight
-	}
-	return -weight / math.Log(u)
+// unit maps a hash to the numbers between 0 and 1.
+func unit(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
+
+// mix combines two hashes for rendezvous hashing.
+func mix(a, b uint64) uint64 {
+	h := a ^ (b + 0x9e3779b97f4a7c15 + a<<6 + a>>2)
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
 }
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -4,12 +4,12 @@
 //
 // A backend server answers faster what it has handled recently. So requests with
 // the same key should meet the same few backend servers, without any talk
-// between entry VMs. Rendezvous hashing names the anchors of a key: its homes and
-// its backup among all backend servers, on which the entry VMs of a region agree,
-// and the first ones in the region and in the failure domain of the entry VM.
-// Other backend servers are used when these cannot be. A fleet of few entry VMs
-// has one home a key; in a larger one two share the load, since no entry VM sees
-// enough of it to move away in time.
+// between entry VMs. An object is mostly asked for by callers of one region, so
+// hashing names a home and a backup for each key in the region of the entry VM.
+// A region with less than its share of the slots hosts that part of its keys,
+// and the others go to the regions that have slots to spare. A fleet of few entry
+// VMs has one home a key; in a larger one two in different failure domains share
+// the load, since no entry VM sees enough of it to move away in time.
 //
 // A Balancer estimates for each candidate when the answer would come: the wait
 // for a slot, the service time (learned per route, for keys that the backend
@@ -99,9 +99,6 @@
 	// server. With three, two that disagree about the entry VMs stay within the
 	// tolerated excess of a half.
 	coldSharers = 3
-	// nearWeight is how much likelier a backend server of the own region is the
-	// home of a key than another one.
-	nearWeight = 3
 	// manyEntries is the number of entry VMs from which each of them sees too
 	// few answers of a backend server to leave a busy home in time; keys then
 	// have homesOfMany homes. The sites have 7, 27 and 34.
@@ -109,6 +106,11 @@
 	homesOfMany = 2
 	// maxKeys bounds the keys of a route that are remembered.
 	maxKeys = 4096
+	// leastSpare is the weight of a region without slots to spare for the keys of
+	// others, as a part of the share of a region.
+	leastSpare = 0.01
+	// hostSalt keeps the choice of a region apart from that of a home.
+	hostSalt = 0x7e3a
 	// backupPart makes the backup of a key the first choice among backend
 	// servers that are all cold for it.
 	backupPart = 0.9
--- a/transport/shfront/report.go
+++ b/transport/shfront/report.go
@@ -29,7 +29,7 @@
 	took := time.Since(x.received)
 	if objective := x.route.Objective.Duration(); took > objective && objective > 0 {
 		x.front.Logger.Info("late answer", "request", x.id, "route", x.route.Name, "service", x.service,
-			"backend", c.Backend.ID, "zone", c.Backend.Zone, "status", r.Status, "attempts", len(x.tried),
+			"key", x.key, "backend", c.Backend.ID, "zone", c.Backend.Zone, "status", r.Status, "attempts", len(x.tried),
 			"tookMs", took.Milliseconds(), "objectiveMs", objective.Milliseconds(), "estimateMs", c.Estimate.Milliseconds(),
 			"load", c.Load, "warm", c.Warm, "reused", r.Reused, "index", x.view.Index)
 	}
