Repeat a dial to a silent peer at once

Cause: after a loss of power control VMs dial each other while some are still down; TCP repeats the lost opening packet after a second, and all messages wait for that dial. Ruled out: the election timeout itself (two candidates within 16 ms of each other are rare and the third vote decides). A try is bounded by 300 ms now and repeated.

--- a/transport/shpeer/client.go
+++ b/transport/shpeer/client.go
@@ -230,13 +230,14 @@
 	if err := p.client.ctx.Err(); err != nil {
 		return nil, errors.New("client is closed")
 	}
+	config := p.client.config
 	// A dial to a silent address must not hold up callers with later deadlines.
-	d := net.Dialer{Timeout: p.client.config.Silence}
-	raw, err := d.DialContext(ctx, "tcp", p.address)
+	dialCtx, cancel := context.WithTimeout(ctx, config.Silence)
+	defer cancel()
+	raw, err := dial(dialCtx, p.address, (&net.Dialer{}).DialContext)
 	if err != nil {
 		return nil, err
 	}
-	config := p.client.config
 	counted := newCountedConn(raw, config.Silence, config.Traffic.counter(p.address))
 	stream := jsonrpc2.NewBufferedStream(counted, boundedCodec{config.MaxMessageBytes})
 	conn := jsonrpc2.NewConn(p.client.ctx, stream, refuseRequests{}, jsonrpc2.SetLogger(connLogger))
@@ -245,6 +246,24 @@
 	return conn, nil
 }
 
+// dialAttempt bounds one try of a connection: four round trips of the slowest
+// link (35 ms one way). TCP repeats a lost opening packet only after a second.
+const dialAttempt = 300 * time.Millisecond
+
+// dial connects to address and tries again at once while the address is silent:
+// a VM that has just started answers the next packet.
+func dial(ctx context.Context, address string, connect func(context.Context, string, string) (net.Conn, error)) (net.Conn, error) {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, dialAttempt)
+		conn, err := connect(attempt, "tcp", address)
+		silent := attempt.Err() != nil
+		cancel()
+		if err == nil || !silent || ctx.Err() != nil {
+			return conn, err
+		}
+	}
+}
+
 // ping keeps a connection from going silent. The answers reset the read
 // deadline of this end, the pings that of the other.
 func (c *Client) ping(conn *jsonrpc2.Conn) {
--- /dev/null
+++ b/transport/shpeer/dial_test.go
@@ -0,0 +1,54 @@
+package shpeer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an opening packet that is sent while the peer is down and holds
+// up the connection for the second after which TCP repeats it.
+func TestDialOfSilentAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := time.Now().Add(400 * time.Millisecond)
+		connect := func(ctx context.Context, _, _ string) (net.Conn, error) {
+			if time.Now().Before(up) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			c, _ := net.Pipe()
+			return c, nil
+		}
+		begun := time.Now()
+		c, err := dial(t.Context(), "peer", connect)
+		assert.NilError(t, err)
+		assert.NilError(t, c.Close())
+		assert.Assert(t, time.Since(begun) < time.Second, "connected after %v", time.Since(begun))
+	})
+}
+
+// Guards against a dial that outlives its caller, and against one that repeats a
+// refusal without a pause.
+func TestDialEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		_, err := dial(ctx, "peer", func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		refused, calls := errors.New("refused"), 0
+		_, err = dial(t.Context(), "peer", func(context.Context, string, string) (net.Conn, error) {
+			calls++
+			return nil, refused
+		})
+		assert.ErrorIs(t, err, refused)
+		assert.Equal(t, calls, 1)
+	})
+}
