--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -224,7 +224,7 @@
 		x.last = &r
 		return attemptMayRepeat
 	}
-	x.deliver(c, r)
+	x.deliver(c, r, load)
 	return attemptDelivered
 }
 
@@ -261,10 +261,10 @@
 }
 
 // deliver passes an answer on.
-func (x *exchange) deliver(c shbalance.Choice, r shorigin.Response) {
+func (x *exchange) deliver(c shbalance.Choice, r shorigin.Response, load *shbalance.Load) {
 	x.pass(r)
 	x.answerBytes = len(r.Body)
-	x.finishAt(c, r)
+	x.finishAt(c, r, load)
 }
 
 // pass writes an answer of a backend server unchanged.
--- a/transport/shfront/report.go
+++ b/transport/shfront/report.go
@@ -24,14 +24,15 @@
 	x.front.Metrics.GetOrCreateCounter(fmt.Sprintf(`sequoiahollow_attempts_total{result=%q}`, result)).Inc()
 }
 
-// finishAt accounts for a delivered answer. Only late ones get a log line.
-func (x *exchange) finishAt(c shbalance.Choice, r shorigin.Response) {
+// finishAt accounts for a delivered answer. Only late ones get a log line, with
+// the load that the backend server reported at the end.
+func (x *exchange) finishAt(c shbalance.Choice, r shorigin.Response, load *shbalance.Load) {
 	took := time.Since(x.received)
 	if objective := x.route.Objective.Duration(); took > objective && objective > 0 {
 		x.front.Logger.Info("late answer", "request", x.id, "route", x.route.Name, "service", x.service,
 			"key", x.key, "backend", c.Backend.ID, "zone", c.Backend.Zone, "status", r.Status, "attempts", len(x.tried),
 			"tookMs", took.Milliseconds(), "objectiveMs", objective.Milliseconds(), "estimateMs", c.Estimate.Milliseconds(),
-			"load", c.Load, "warm", c.Warm, "reused", r.Reused, "index", x.view.Index)
+			"load", c.Load, "warm", c.Warm, "reused", r.Reused, "reported", load, "index", x.view.Index)
 	}
 	x.count(outcomeAnswered, r.Status, took)
 	x.account(outcomeAnswered, r.Status, "", took)
