Compress large messages between peers

The codec now compresses messages of 1 KB or more, bounded in size at the reader too, and the account needs no packing of its own.

--- /dev/null
+++ b/transport/shpeer/codec.go
@@ -0,0 +1,115 @@
+package shpeer
+
+import (
+	"bufio"
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+)
+
+const (
+	// compressFrom is the size in bytes from which messages are compressed;
+	// smaller ones would hardly shrink.
+	compressFrom = 1024
+	// compressed marks the length of a compressed message.
+	compressed = 1 << 31
+	// envelopeBytes is an allowance for what JSON-RPC adds to params and results.
+	envelopeBytes = 4096
+)
+
+// boundedCodec frames JSON with a length of four bytes, big endian, and compresses
+// large messages: links between regions are thin and their bytes are dear. It
+// refuses messages over maxBytes before it allocates memory for them.
+type boundedCodec struct {
+	maxBytes int
+}
+
+func (b boundedCodec) limit() int { return b.maxBytes + envelopeBytes }
+
+// WriteObject implements jsonrpc2.ObjectCodec.
+func (b boundedCodec) WriteObject(w io.Writer, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	if len(data) > b.limit() {
+		return fmt.Errorf("message of %d bytes exceeds %d", len(data), b.limit())
+	}
+	mark := uint32(0)
+	if len(data) >= compressFrom {
+		packed, err := deflate(data)
+		if err != nil {
+			return err
+		}
+		if len(packed) < len(data) {
+			data, mark = packed, compressed
+		}
+	}
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(data)), uint32(len(data))|mark)
+	_, err = w.Write(append(frame, data...))
+	return err
+}
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (b boundedCodec) ReadObject(r *bufio.Reader, v any) error {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	length := binary.BigEndian.Uint32(head[:])
+	size := int64(length &^ compressed)
+	if size > int64(b.limit()) {
+		return fmt.Errorf("message of %d bytes exceeds %d", size, b.limit())
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return err
+	}
+	if length&compressed != 0 {
+		var err error
+		if data, err = inflate(data, b.limit()); err != nil {
+			return err
+		}
+	}
+	return json.Unmarshal(data, v)
+}
+
+// writers are reused, since each holds about a megabyte.
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant
+	}
+	return w
+}}
+
+func deflate(data []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&b)
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// inflate refuses data that is larger than limit bytes.
+func inflate(packed []byte, limit int) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(packed))
+	data, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, fmt.Errorf("compressed message: %w", err)
+	}
+	if len(data) > limit {
+		return nil, fmt.Errorf("compressed message of more than %d bytes", limit)
+	}
+	return data, nil
+}
--- a/transport/shpeer/conn.go
+++ b/transport/shpeer/conn.go
@@ -1,11 +1,6 @@
 package shpeer
 
 import (
-	"bufio"
-	"encoding/binary"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -90,45 +85,3 @@
 	c.count.Load().sent.Add(uint64(n))
 	return n, err
 }
-
-// boundedCodec frames JSON with a length of four bytes, big endian. It refuses
-// frames over maxBytes before it allocates memory for them.
-type boundedCodec struct {
-	maxBytes int
-}
-
-// envelopeBytes is an allowance for what JSON-RPC adds to params and results.
-const envelopeBytes = 4096
-
-func (b boundedCodec) limit() int { return b.maxBytes + envelopeBytes }
-
-// WriteObject implements jsonrpc2.ObjectCodec.
-func (b boundedCodec) WriteObject(w io.Writer, v any) error {
-	data, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	if len(data) > b.limit() {
-		return fmt.Errorf("message of %d bytes exceeds %d", len(data), b.limit())
-	}
-	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(data)), uint32(len(data)))
-	_, err = w.Write(append(frame, data...))
-	return err
-}
-
-// ReadObject implements jsonrpc2.ObjectCodec.
-func (b boundedCodec) ReadObject(r *bufio.Reader, v any) error {
-	var head [4]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return err
-	}
-	size := int64(binary.BigEndian.Uint32(head[:]))
-	if size > int64(b.limit()) {
-		return fmt.Errorf("message of %d bytes exceeds %d", size, b.limit())
-	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
-		return err
-	}
-	return json.Unmarshal(data, v)
-}
--- a/transport/shsteer/account.go
+++ b/transport/shsteer/account.go
@@ -1,18 +1,15 @@
 package shsteer
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"slices"
 	"sync"
 	"time"
 
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shreplication"
+	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
 	"sequoiahollow/state/shsettings"
@@ -33,46 +30,11 @@
 	// unnumbered bounds the requests that wait for a number. A VM has numbers
 	// soon after it found the leader.
 	unnumbered = 4096
-	// maxUnpacked bounds an unpacked batch, in bytes.
-	maxUnpacked = 16 << 20
 	// otherRegionTrip stands for the round trip to control VMs of other regions.
 	otherRegionTrip = 40 * time.Millisecond
 	closeTimeout    = 500 * time.Millisecond
 )
 
-// methodAppend takes a packedAppend.
-const methodAppend = "account.packed"
-
-// packedAppend is a shaccount.AppendRequest with compressed records.
-type packedAppend struct {
-	Request shaccount.AppendRequest `json:"request"`
-	// Records is the compressed JSON of the records.
-	Records []byte `json:"records,omitempty"`
-}
-
-func pack(records []shrecord.Record) ([]byte, error) {
-	if len(records) == 0 {
-		return nil, nil
-	}
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.DefaultCompression)
-	if err != nil {
-		return nil, err
-	}
-	err = errors.Join(json.NewEncoder(w).Encode(records), w.Close())
-	return b.Bytes(), err
-}
-
-func unpack(data []byte) ([]shrecord.Record, error) {
-	if len(data) == 0 {
-		return nil, nil
-	}
-	var records []shrecord.Record
-	r := flate.NewReader(bytes.NewReader(data))
-	err := json.NewDecoder(io.LimitReader(r, maxUnpacked)).Decode(&records)
-	return records, errors.Join(err, r.Close())
-}
-
 // accountant numbers the requests of an entry VM and brings their records to
 // control VMs in two failure domains. It implements shfront.Account.
 type accountant struct {
@@ -205,12 +167,7 @@
 
 // Append implements shaccount.Replicator.
 func (a *accountant) Append(ctx context.Context, target shmodel.VM, q shaccount.AppendRequest) (shaccount.AppendResponse, error) {
-	packed, err := pack(q.Records)
-	if err != nil {
-		return shaccount.AppendResponse{}, err
-	}
-	q.Records = nil
-	return shpeer.Call[shaccount.AppendResponse](ctx, a.client, a.address(target), methodAppend, packedAppend{Request: q, Records: packed})
+	return shpeer.Call[shaccount.AppendResponse](ctx, a.client, a.address(target), shwire.MethodAccountAppend, q)
 }
 
 // Release implements shaccount.Replicator. Stores with a disk need none.
--- a/transport/shsteer/export.go
+++ b/transport/shsteer/export.go
@@ -21,17 +21,7 @@
 
 // handleAccount lets a control VM keep and tell account records.
 func handleAccount(server *shpeer.Server, store *shaccount.Store) {
-	shpeer.Handle(server, methodAppend, func(ctx context.Context, p packedAppend) (shaccount.AppendResponse, error) {
-		records, err := unpack(p.Records)
-		if err == nil && len(records) == 0 && !p.Request.Confirm {
-			err = errors.New("a batch without records")
-		}
-		if err != nil {
-			return shaccount.AppendResponse{Refused: shaccount.Invalid, Reason: err.Error()}, nil
-		}
-		p.Request.Records = records
-		return store.HandleAppend(ctx, p.Request)
-	})
+	shpeer.Handle(server, shwire.MethodAccountAppend, store.HandleAppend)
 	shpeer.Handle(server, shwire.MethodAccountRead, store.Read)
 }
 
