Leave a silent failure domain alone

After three in a row without an answer from the failure domain, one request at a time probes it. Before: the new test counts 18 requests there in 2 s, 8 allowed.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -25,6 +25,7 @@
 	evacuated map[shmodel.FailureDomain]bool
 	routes    map[string]*routeTimes
 	trips     map[shmodel.FailureDomain]*estimate // round trips
+	zones     map[shmodel.FailureDomain]*zoneState
 	keys      map[keySpace]map[string]*key
 }
 
@@ -64,6 +65,7 @@
 		services: map[shmodel.Service][]*node{},
 		routes:   map[string]*routeTimes{},
 		trips:    map[shmodel.FailureDomain]*estimate{},
+		zones:    map[shmodel.FailureDomain]*zoneState{},
 		keys:     map[keySpace]map[string]*key{},
 	}
 }
@@ -141,6 +143,7 @@
 	key.pay(now, *best, waitLoss*float64(times.warm.mean)/float64(objective))
 	n := b.nodes[best.Backend.ID]
 	n.book(now, key.name, b.coldShare(now, n))
+	b.zone(n.backend.Zone).probe(now)
 	return *best, nil
 }
 
@@ -235,7 +238,7 @@
 // usable reports whether a request may be sent to a backend server now.
 func (b *Balancer) usable(now time.Time, n *node, r Request) bool {
 	switch {
-	case n.backend.Leaving, b.evacuated[n.backend.Zone], now.Before(n.suspendedUntil):
+	case n.backend.Leaving, b.evacuated[n.backend.Zone], now.Before(n.suspendedUntil), b.zone(n.backend.Zone).isSuspended(now):
 		return false
 	case slices.Contains(r.Tried, n.backend.ID):
 		return false
--- a/coordination/shbalance/balancer_test.go
+++ b/coordination/shbalance/balancer_test.go
@@ -219,6 +219,40 @@
 	pick(t, b, start.Add(time.Second), request("k"))
 }
 
+// Guards against requests that find out one by one that the backend servers of a
+// lost failure domain are silent, and against one that is left alone for good.
+func TestSilentFailureDomainIsLeftAlone(t *testing.T) {
+	b := balancer("e1", "n1", fleet(6))
+	now := start
+	lost := map[shmodel.FailureDomain]bool{"n1": true}
+	tries := func(length time.Duration) (silent int) {
+		for i := 0; i < int(length/(10*time.Millisecond)); i++ {
+			now = now.Add(10 * time.Millisecond)
+			c := pick(t, b, now, request(fmt.Sprint(i)))
+			if !lost[c.Backend.Zone] {
+				b.Done(now, c, shbalance.Answered{})
+				continue
+			}
+			silent++
+			b.Done(now, c, shbalance.Unreachable{})
+		}
+		return silent
+	}
+	n := tries(2 * time.Second)
+	assert.Assert(t, n > 0 && n <= 8, "%d requests went to the lost failure domain", n)
+	lost["n1"] = false
+	used := 0
+	for i := range 200 {
+		now = now.Add(30 * time.Millisecond)
+		c := pick(t, b, now, request(fmt.Sprint(i)))
+		b.Done(now, c, shbalance.Answered{})
+		if c.Backend.Zone == "n1" {
+			used++
+		}
+	}
+	assert.Assert(t, used > 20, "%d of 200 requests went to the failure domain that is back", used)
+}
+
 // Guards against a backend server that joins and never gets a request.
 func TestNewcomerGetsARequest(t *testing.T) {
 	v := fleet(2)
--- a/coordination/shbalance/node.go
+++ b/coordination/shbalance/node.go
@@ -146,6 +146,9 @@
 		return
 	}
 	n.inFlight--
+	if answers(o) {
+		b.zone(n.backend.Zone).reset()
+	}
 	switch o := o.(type) {
 	case Answered:
 		n.suspension = 0
@@ -164,6 +167,7 @@
 		n.observePace(now.Sub(c.at)-c.trip, c.Estimate-c.trip)
 	case Unreachable:
 		n.suspend(now, firstSuspension)
+		b.zone(n.backend.Zone).unreachable(now, n)
 	case Replaced:
 		n.suspend(now, goneSuspension)
 	case Canceled:
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -81,6 +81,9 @@
 	// left alone; it doubles up to maxSuspension.
 	firstSuspension = 400 * time.Millisecond
 	maxSuspension   = 5 * time.Second
+	// maxZoneSuspension bounds how long a failure domain is left alone: one that
+	// is back should serve within a second.
+	maxZoneSuspension = 800 * time.Millisecond
 	// goneSuspension is how long an address that another process answered at is
 	// left alone; the view names the new one meanwhile.
 	goneSuspension = 3 * time.Second
@@ -122,6 +125,9 @@
 	// requests are taken though their answers will be late.
 	spillUntil = 0.7
 	lateUntil  = 0.9
+	// silentBackends is the number of backend servers in a row that cannot be
+	// reached before their failure domain is taken to be lost; single ones crash.
+	silentBackends = 3
 	// queueFactor bounds the load of a backend server, in slots: a longer queue
 	// is shed.
 	queueFactor = 3
--- /dev/null
+++ b/coordination/shbalance/zone.go
@@ -0,0 +1,61 @@
+package shbalance
+
+import (
+	"time"
+
+	"sequoiahollow/state/shmodel"
+)
+
+// zoneState is what an entry VM knows of the reachability of a failure domain.
+type zoneState struct {
+	// silent are the backend servers that could not be reached since the last
+	// answer from the failure domain.
+	silent         map[shmodel.BackendServer]bool
+	suspendedUntil time.Time
+	suspension     time.Duration
+}
+
+func (b *Balancer) zone(name shmodel.FailureDomain) *zoneState {
+	z := b.zones[name]
+	if z == nil {
+		z = &zoneState{silent: map[shmodel.BackendServer]bool{}}
+		b.zones[name] = z
+	}
+	return z
+}
+
+// unreachable notes a backend server that could not be reached. When several in a
+// row cannot, the failure domain is left alone for a while; the next request
+// there then shows whether it is back.
+func (z *zoneState) unreachable(now time.Time, n *node) {
+	z.silent[n.backend.ID] = true
+	if len(z.silent) >= silentBackends {
+		z.suspension = min(max(2*z.suspension, firstSuspension), maxZoneSuspension)
+		z.suspendedUntil = now.Add(z.suspension)
+	}
+}
+
+// probe keeps further requests away while the first one after a suspension is on
+// its way.
+func (z *zoneState) probe(now time.Time) {
+	if z.suspension > 0 {
+		z.suspendedUntil = now.Add(firstSuspension)
+	}
+}
+
+func (z *zoneState) reset() {
+	clear(z.silent)
+	z.suspension, z.suspendedUntil = 0, time.Time{}
+}
+
+func (z *zoneState) isSuspended(now time.Time) bool { return now.Before(z.suspendedUntil) }
+
+// answers reports whether an observation shows that the failure domain can be
+// reached.
+func answers(o Observation) bool {
+	switch o.(type) {
+	case Answered, Shed, Replaced:
+		return true
+	}
+	return false
+}
