Limit retries by what the deployment allows

Cause: the budget of further attempts was a constant per entry VM (0.5 a second and two at once); with 27 entry VMs it came to 135 and 54 of the 172 allowed in 10 s, and a deployment that allows less, or with more VMs, would be over. The settings now carry share, slack and window of the deployment, and each VM takes its part by the number of entry VMs that it knows.

--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -39,6 +39,12 @@
 	// CacheSeconds is how long callers may use an answer of the directory.
 	CacheSeconds float64 `json:"cacheSeconds"`
 	MemoryMB     int     `json:"memoryMb"`
+	// Further attempts of all entry VMs for a service, in any RetryWindowSeconds:
+	// RetryShare of its requests plus RetrySlack. A window of zero stands for the
+	// defaults of shfront.
+	RetryShare         float64 `json:"retryShare"`
+	RetrySlack         float64 `json:"retrySlack"`
+	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
 }
 
 // LoadFleet reads and checks the settings of a fleet process. For kind Invalid
@@ -102,6 +108,13 @@
 			report(name, "%v is not positive", value)
 		}
 	}
+	for name, value := range map[string]float64{
+		"retryShare": f.RetryShare, "retrySlack": f.RetrySlack, "retryWindowSeconds": f.RetryWindowSeconds,
+	} {
+		if value < 0 {
+			report(name, "%v is negative", value)
+		}
+	}
 	if f.TolerateLosses < 0 {
 		report("tolerateLosses", "is negative")
 	}
--- a/transport/shfront/front.go
+++ b/transport/shfront/front.go
@@ -37,6 +37,8 @@
 	Report func(CrashReport)
 	// Account takes the account records of each request; nil keeps none.
 	Account Account
+	// Retries bounds further attempts.
+	Retries RetryLimit
 	// Place is where the VM runs, for the account.
 	Place   shbalance.Place
 	Metrics *metrics.Set
@@ -164,22 +166,15 @@
 	return f.budget(s).Spend(now)
 }
 
-// Budget of further attempts per service. The sites allow 0.2 of the requests and
-// a constant of 60 to 214 in 10 s over all their VMs, 7 to 34.
-const (
-	retryShare = 0.15
-	retryRate  = 0.5 // per second
-	retryBurst = 2
-)
-
 func (f *Front) budget(s shmodel.Service) *shlimit.ShareBudget {
 	if f.budgets == nil {
 		f.budgets = map[shmodel.Service]*shlimit.ShareBudget{}
 	}
 	b := f.budgets[s]
 	if b == nil {
-		b = &shlimit.ShareBudget{Share: retryShare, MinRate: retryRate, Max: retryBurst, Initial: retryBurst}
+		b = &shlimit.ShareBudget{}
 		f.budgets[s] = b
 	}
+	f.Retries.divide(b, len(f.View().Entries))
 	return b
 }
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -63,6 +63,9 @@
 	e.addGauges()
 	front := &shfront.Front{
 		Account: e.account, Place: place,
+		Retries: shfront.RetryLimit{
+			Share: s.RetryShare, Slack: s.RetrySlack, Window: shsettings.Seconds(s.RetryWindowSeconds),
+		},
 		Dialect: outside.Dialect, Balancer: e.balancer, Origin: e.origin, View: e.watcher.View,
 		Closing: e.closing.Load, Refusing: e.refusing.Load, Report: e.report, Metrics: e.metrics, Logger: log,
 	}
