--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -26,6 +26,9 @@
 // those of other entry VMs, taken from its last load report and fading with the
 // report's age.
 //
+// A failure domain in which several backend servers in a row cannot be reached is
+// left alone, but for one request at a time that probes it.
+//
 // A cold backend server tolerates few requests from all entry VMs together. Each
 // of the coldSharers entry VMs that rendezvous hashing names may send an equal
 // part of its rate; the others send nothing.
@@ -117,8 +120,8 @@
 	// backupPart makes the backup of a key the first choice among backend
 	// servers that are all cold for it.
 	backupPart = 0.9
-	// keptKeys bounds the keys that a backend server is taken to be warm for. It
-	// is the least that backend servers of the sites keep (18).
+	// keptKeys bounds the keys that a backend server is taken to be warm for.
+	// Those of the sites keep 18 to 70, of the grown sites 9 to 31.
 	keptKeys = 18
 	// spillUntil is the pressure (load against slots of a service) up to which a
 	// key may get a cold run away from its home, and lateUntil that up to which
