Choose the backup of a key where only it can be an investment

A home is either warm or taken to be so, and was passed over before the look whether it is an anchor; only the backup was ever a target.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -147,9 +147,8 @@
 	return *best, nil
 }
 
-// compare returns the choice of least loss, and the one that would lose least if
-// it were warm among the anchors that are not and have a free slot. If there is
-// no choice it returns why.
+// compare returns the choice of least loss, and the backup of the key if that is
+// not warm yet and has a free slot. If there is no choice it returns why.
 func (b *Balancer) compare(now time.Time, r Request, t *routeTimes, k *key) (best, target *Choice, refusal *Refusal) {
 	nodes := b.candidates(now, r)
 	a := b.anchor(nodes, k.hash)
@@ -170,14 +169,12 @@
 		if best == nil || c.loss < best.loss || (c.loss == best.loss && prefers(tie, n, bestNode)) {
 			best, bestNode = &c, n
 		}
-		if c.Warm || c.home || c.queued || pressure > spillUntil || !a.includes(n) {
+		if c.Warm || c.home || c.queued || pressure > spillUntil || n != a.backup {
 			continue
 		}
-		if loss := b.loss(now, n, r, warm); target == nil || loss < target.loss {
-			investment := c
-			investment.loss, investment.invest = loss, true
-			target = &investment
-		}
+		investment := c
+		investment.loss, investment.invest = b.loss(now, n, r, warm), true
+		target = &investment
 	}
 	return best, target, refusal
 }
--- a/coordination/shbalance/key.go
+++ b/coordination/shbalance/key.go
@@ -74,8 +74,6 @@
 	backup *node
 }
 
-func (a anchors) includes(n *node) bool { return n == a.backup || slices.Contains(a.homes, n) }
-
 // anchor returns the anchors of a key among the backend servers that may be used.
 func (b *Balancer) anchor(nodes []*node, hash uint64) anchors {
 	region := b.host(nodes, hash)
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -20,7 +20,7 @@
 //
 // The loss by distance and by waiting is paid by each request, that of a cold run
 // only once. So when the requests for a key have paid as much as a cold run
-// loses, one request goes to the anchor that would lose least if it were warm.
+// loses, one request makes the backup warm if that would lose less.
 //
 // The load of a backend server is the own requests in flight, known exactly, plus
 // those of other entry VMs, taken from its last load report and fading with the
