--- a/transport/shlogqueue/shlogqueue_test.go
+++ b/transport/shlogqueue/shlogqueue_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -113,3 +114,53 @@
 	q.Close()
 	assert.Equal(t, b.String(), "last\n")
 }
+
+// Guards against queued lines that are lost when Close meets a goroutine that has
+// just found the queue empty.
+func TestCloseRightAfterWrite(t *testing.T) {
+	for range 20000 {
+		var b bytes.Buffer
+		q := shlogqueue.New(&b)
+		fmt.Fprint(q, "last\n")
+		q.Close()
+		assert.Equal(t, b.String(), "last\n")
+	}
+}
+
+// failingWriter fails while failing is set.
+type failingWriter struct {
+	failing bool
+	text    bytes.Buffer
+}
+
+func (f *failingWriter) Write(p []byte) (int, error) {
+	if f.failing {
+		return 0, errors.New("write failed")
+	}
+	return f.text.Write(p)
+}
+
+// Guards against lines that are lost without being counted: written after Close,
+// or while the destination fails.
+func TestUncountedLines(t *testing.T) {
+	t.Run("after Close", func(t *testing.T) {
+		q := shlogqueue.New(&bytes.Buffer{})
+		q.Close()
+		fmt.Fprint(q, "late\n")
+		assert.Equal(t, q.Dropped(), uint64(1))
+	})
+	t.Run("destination fails", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &failingWriter{failing: true}
+			q := shlogqueue.New(f)
+			fmt.Fprint(q, "first\n")
+			synctest.Wait()
+			fmt.Fprint(q, "second\n")
+			synctest.Wait()
+			f.failing = false
+			q.Close()
+			assert.Equal(t, q.Dropped(), uint64(2))
+			assert.DeepEqual(t, reportedCounts(t, f.text.String()), []uint64{2})
+		})
+	})
+}
