--- a/coordination/shfleet/shfleet.go
+++ b/coordination/shfleet/shfleet.go
@@ -54,6 +54,9 @@
 	Prefix string `json:"prefix"`
 	// Kind says whether the requests may run more than once.
 	Kind shmodel.OperationKind `json:"kind"`
+	// Download says that answers are large. They are passed on while they arrive,
+	// not held until they are complete.
+	Download bool `json:"download,omitempty"`
 	// Objective is the response time up to which a request has its full benefit.
 	Objective Millis `json:"objectiveMs"`
 	// Timeout bounds a request as a whole.
