Let three entry VMs try a new backend server, not all

Cause: each entry VM sent an early request to each backend server that joined. Before: TestNewBackendIsNotFlooded counts 7 of 7, 30 of 30, 118 of 118 and 300 of 300 entry VMs. After: at most 3 and the owners of its keys.

--- a/coordination/shbalance/backend_state.go
+++ b/coordination/shbalance/backend_state.go
@@ -18,8 +18,8 @@
 
 	inFlight int
 	sent     int
-	// untried is set on a backend server that joined a service in use and has not
-	// got a request from this entry VM yet.
+	// untried is set on a backend server that joined a service in use and should
+	// get a request from this entry VM soon.
 	untried bool
 	// otherLoad is the number of requests of other entry VMs at reportedAt.
 	otherLoad  float64
@@ -76,7 +76,7 @@
 func (n *backendState) isCold(now time.Time) bool { return now.Before(n.coldUntil) }
 
 // isUntried reports whether the backend server joined within newBackendPeriod and
-// has not got a request from this entry VM yet.
+// waits for its first request from this entry VM.
 func (n *backendState) isUntried(now time.Time) bool {
 	return n.untried && now.Sub(n.joined) < newBackendPeriod
 }
--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -78,11 +78,15 @@
 	defer b.mu.Unlock()
 	backends := make(map[shmodel.BackendServer]*backendState, len(v.Backends))
 	services := map[shmodel.Service][]*backendState{}
+	b.entries = b.entries[:0]
+	for _, e := range v.Entries {
+		b.entries = append(b.entries, e.VM)
+	}
 	for id, backend := range v.Backends {
 		n := b.backends[id]
 		if n == nil || n.backend.Instance != backend.Instance {
 			n = b.newBackendState(now, backend)
-			n.untried = b.isBusy(backend.Service)
+			n.untried = b.isBusy(backend.Service) && b.isFirstSender(n)
 		}
 		if n.backend.At != backend.At {
 			n.coldUntil = now.Add(backend.ColdFor.Duration())
@@ -101,10 +105,6 @@
 			b.coldRates[name] = s.ColdRate
 		}
 	}
-	b.entries = b.entries[:0]
-	for _, e := range v.Entries {
-		b.entries = append(b.entries, e.VM)
-	}
 }
 
 // isBusy reports whether this entry VM has sent requests to the service.
@@ -257,18 +257,24 @@
 	if rate <= 0 || !n.isCold(now) {
 		return math.Inf(1)
 	}
-	senders := min(coldSenders, max(len(b.entries), 1))
+	if !b.isFirstSender(n) {
+		return 0
+	}
+	return rate / float64(min(coldSenders, max(len(b.entries), 1)))
+}
+
+// isFirstSender reports whether this entry VM is one of the coldSenders that may
+// send to a backend server while it is cold, and that try it when it has joined.
+// All entry VMs that know the same entry VMs agree on them.
+func (b *Balancer) isFirstSender(n *backendState) bool {
 	ahead := 0
-	own := mix(n.hash, xxhash.Sum64String(string(b.place.VM)))
+	own := mix(n.hash, b.vmHash)
 	for _, vm := range b.entries {
 		if vm != b.place.VM && mix(n.hash, xxhash.Sum64String(string(vm))) > own {
 			ahead++
 		}
 	}
-	if ahead >= senders {
-		return 0
-	}
-	return rate / float64(senders)
+	return ahead < coldSenders
 }
 
 // serviceTime returns the expected response time without queueing. It sets Warm,
@@ -312,8 +318,8 @@
 		loss += failureRetryLoss * n.failures
 	}
 	if n.isUntried(now) && b.ownColdRate(now, n) > 0 {
-		// A backend server that joined gets one request early, so that its
-		// response time becomes known.
+		// A backend server that joined gets a request early from a few entry VMs, so
+		// that its response time becomes known. One from each would be a burst.
 		loss--
 	}
 	return loss
