Bound what is read for one answer of a backend server

Cause: the head of an answer was read without a bound, and each body up to 16 MB. A backend server that sends bytes without end held the request until its deadline and took memory for all of that time. Ruled out: the limits of net/http, which hold for its own client only. Before: TestEndlessBytes, 20 requests at once: heads, interim answers, chunk extensions and trailers without end ended only at the deadline of 4 s. After: all ten cases end as garbled well before it, the heap stays below 142 MiB and the connections are closed. The body of an answer to another request is no longer held at all.

--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,6 +29,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// input is below reader and bounds what an answer may bring.
+	input  *boundedInput
 	usedAt time.Time
 	// idleLimit is how long the connection may be idle.
 	idleLimit time.Duration
@@ -120,7 +123,28 @@
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: KindNotSent, Err: err}
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
+	input := &boundedInput{source: nc}
+	return &conn{Conn: nc, input: input, reader: bufio.NewReaderSize(input, readBuffer)}, nil
+}
+
+// boundedInput reads from a connection until a bound is reached, so that a backend
+// server that sends without end does not fill the memory.
+type boundedInput struct {
+	source io.Reader
+	left   int64 // bytes that may still be read
+}
+
+// errInputTooLong is the error of a boundedInput at its bound.
+var errInputTooLong = errors.New("more bytes than an answer may have")
+
+// Read implements io.Reader.
+func (i *boundedInput) Read(p []byte) (int, error) {
+	if i.left <= 0 {
+		return 0, errInputTooLong
+	}
+	n, err := i.source.Read(p[:min(int64(len(p)), i.left)])
+	i.left -= int64(n)
+	return n, err
 }
 
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
@@ -244,6 +268,7 @@
 	}
 	inSync := true
 	for range maxAnswersRead {
+		x.input.left = maxHead
 		answer, err := http.ReadResponse(x.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return Response{}, false, transferError("read head", err)
@@ -251,24 +276,26 @@
 		if answer.StatusCode < http.StatusOK {
 			continue
 		}
+		if answer.Header.Get(r.EchoHeader) != r.Header.Get(r.EchoHeader) {
+			x.input.left = maxBody
+			if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+				return Response{}, false, transferError("skip body", err)
+			}
+			inSync = false
+			continue
+		}
 		if isStreamed(r, answer) {
 			x.idleLimit = idleTimeout(answer.Header)
+			x.input.left = answer.ContentLength + maxHead
 			keep := inSync && !answer.Close && x.idleLimit > 0
 			return Response{
 				Status: answer.StatusCode, Header: answer.Header, Stream: answer.Body, Length: answer.ContentLength,
 			}, keep, nil
 		}
-		body, err := io.ReadAll(io.LimitReader(answer.Body, maxBody+1))
+		body, err := x.readBody(answer)
 		if err != nil {
 			return Response{}, false, transferError("read body", err)
 		}
-		if len(body) > maxBody {
-			return Response{}, false, &Error{Op: "read body", Kind: KindGarbled, Err: fmt.Errorf("more than %d bytes", maxBody)}
-		}
-		if answer.Header.Get(r.EchoHeader) != r.Header.Get(r.EchoHeader) {
-			inSync = false
-			continue
-		}
 		x.idleLimit = idleTimeout(answer.Header)
 		keep := inSync && !answer.Close && x.reader.Buffered() == 0 && x.idleLimit > 0
 		return Response{Status: answer.StatusCode, Header: answer.Header, Body: body}, keep, nil
@@ -276,10 +303,33 @@
 	return Response{}, false, &Error{Op: "read head", Kind: KindGarbled, Err: errors.New("answers to other requests only")}
 }
 
+// readBody reads a body that is held until it is complete. All such bodies
+// together share maxHeldBytes beyond the first smallBody bytes of each.
+func (x *conn) readBody(answer *http.Response) ([]byte, error) {
+	x.input.left = smallBody + maxHead
+	body, err := io.ReadAll(io.LimitReader(answer.Body, smallBody))
+	if err != nil || int64(len(body)) < smallBody {
+		return body, err
+	}
+	if heldBytes.Add(maxBody) > maxHeldBytes {
+		heldBytes.Add(-maxBody)
+		return nil, fmt.Errorf("no memory for a body of more than %d bytes", smallBody)
+	}
+	defer heldBytes.Add(-maxBody)
+	x.input.left += maxBody
+	rest, err := io.ReadAll(io.LimitReader(answer.Body, maxBody-smallBody+1))
+	if err == nil && len(rest) > maxBody-smallBody {
+		err = fmt.Errorf("more than %d bytes", maxBody)
+	}
+	return append(body, rest...), err
+}
+
+// heldBytes is the memory set aside for large bodies that are being read.
+var heldBytes atomic.Int64
+
 // isStreamed reports whether the body of an answer is returned as a Stream.
 func isStreamed(r Request, answer *http.Response) bool {
-	return r.StreamFrom > 0 && r.Method != http.MethodHead && answer.ContentLength >= r.StreamFrom && answer.StatusCode < http.StatusMultipleChoices &&
-		answer.Header.Get(r.EchoHeader) == r.Header.Get(r.EchoHeader)
+	return r.StreamFrom > 0 && r.Method != http.MethodHead && answer.ContentLength >= r.StreamFrom && answer.StatusCode < http.StatusMultipleChoices
 }
 
 // encode returns the bytes of a request.
--- a/transport/shorigin/shorigin.go
+++ b/transport/shorigin/shorigin.go
@@ -16,6 +16,10 @@
 // while it arrives, if it is at least that long: the Response then has a Stream in
 // place of a Body. Its connection is in use until the Stream is closed.
 //
+// What is read for one answer is bounded: a backend server may send bytes without
+// end, in a head or in a body. The connection is then closed and the error is of
+// KindGarbled.
+//
 // An idle connection may be dead without the client being notified. A request
 // that must not be repeated therefore uses one only if it was last used within
 // maxIdleOnce.
@@ -50,9 +54,16 @@
 	// maxIdleTotal those to all.
 	maxIdlePerServer = 8
 	maxIdleTotal     = 1024
-	// maxBody bounds the body of an answer, in bytes. Answers in the deployments
-	// are below 64 KiB.
+	// maxHead bounds the head of an answer and the framing of its body, in bytes.
+	maxHead = 256 << 10
+	// maxBody bounds the body of an answer that is not passed on as a stream, in
+	// bytes. Answers in the deployments are below 540 KB.
 	maxBody = 16 << 20
+	// smallBody is the length, in bytes, beyond which a body needs a part of
+	// maxHeldBytes, which all bodies that are being read share. The smallest entry
+	// VM has 284 MB.
+	smallBody    = 256 << 10
+	maxHeldBytes = 2 * maxBody
 	// readBuffer is the size of a read buffer in bytes. It fits the head of an
 	// answer and most bodies.
 	readBuffer = 4096
