Hold no piece of a download back

Cause: net/http buffers small writes, so the last piece before a pause of the backend server was held until the next one came. Ruled out: the reader of the answer; the piece had been read.

--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -327,14 +327,18 @@
 	x.finishDelivered(c, r, load)
 }
 
-// copyStream copies the body of an answer in pieces. Unlike io.Copy it tells
-// which side failed.
-func copyStream(w io.Writer, r io.Reader) (n int64, readErr, writeErr error) {
+// copyStream copies the body of an answer in pieces, without holding any back.
+// Unlike io.Copy it tells which side failed.
+func copyStream(w http.ResponseWriter, r io.Reader) (n int64, readErr, writeErr error) {
 	piece := make([]byte, streamPiece)
+	control := http.NewResponseController(w)
 	for {
 		m, err := r.Read(piece)
 		if m > 0 {
-			if _, writeErr = w.Write(piece[:m]); writeErr != nil {
+			if _, writeErr = w.Write(piece[:m]); writeErr == nil {
+				writeErr = control.Flush()
+			}
+			if writeErr != nil {
 				return n, nil, writeErr
 			}
 			n += int64(m)
