Contain a panic in the handler of a peer call

Cause: handlers of peer calls run in goroutines of their own, and nothing recovered a panic there, so one message that a handler cannot bear ended the control VM for everybody. Ruled out: HTTP handlers (net/http recovers) and the decoders of documents, announcements and answers: fuzz targets, 15, 8 and 10 s each, found no crash; the goroutine that owns the replicated state is left to end the process, since its state could be half changed. Before: TestPanicEndsOnlyItsCall ended the test process (index out of range). After: green; the call fails, the stack is logged, the next call is answered.

--- a/transport/shpeer/server.go
+++ b/transport/shpeer/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -170,7 +171,14 @@
 	_ = conn.Reply(ctx, r.ID, struct{}{})
 }
 
-func (h *serverHandler) run(ctx context.Context, r *jsonrpc2.Request) (any, error) {
+// run calls the handler of a method. A panic of the handler ends only its call.
+func (h *serverHandler) run(ctx context.Context, r *jsonrpc2.Request) (result any, err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			h.server.config.Logger.Error("handler of a peer call panicked", "method", r.Method, "reason", reason, "stack", string(debug.Stack()))
+			result, err = nil, newError(r.Method, KindFailed, fmt.Errorf("the handler panicked: %v", reason))
+		}
+	}()
 	h.server.mu.Lock()
 	f := h.server.handlers[r.Method]
 	h.server.mu.Unlock()
