--- a/coordination/shfleet/format_test.go
+++ b/coordination/shfleet/format_test.go
@@ -18,7 +18,7 @@
 
 var storedAt = time.Date(2026, 1, 2, 3, 4, 5, 6, time.UTC)
 
-func readStored(t *testing.T, name string) []byte {
+func readStored(t testing.TB, name string) []byte {
 	t.Helper()
 	data, err := os.ReadFile(filepath.Join("testdata", name))
 	assert.NilError(t, err)
@@ -26,7 +26,7 @@
 }
 
 // readStoredLines returns the lines of a file without their line ends.
-func readStoredLines(t *testing.T, name string) [][]byte {
+func readStoredLines(t testing.TB, name string) [][]byte {
 	t.Helper()
 	return bytes.Split(bytes.TrimSuffix(readStored(t, name), []byte("\n")), []byte("\n"))
 }
