--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -112,7 +112,7 @@
 	// one was measured.
 	warmFraction = 0.3
 	// coldSenders is the number of entry VMs that may send to a cold backend
-	// server. With three, the total rate stays within the tolerated excess of a
+	// server, and that try one that has joined. With three, the total rate stays within the tolerated excess of a
 	// half while two entry VMs have different lists of entry VMs.
 	coldSenders = 3
 	// largeFleetEntries is the number of entry VMs from which each of them sees too
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -58,7 +58,7 @@
 	maintenanceInterval = 500 * time.Millisecond
 	// releasePerObserver is the time between two releases of changes to observers,
 	// per observer, so that a leader with many of them spends a bounded part of its
-	// processor on answers. A release costs about 0.2 ms an observer.
+	// processor on answers.
 	releasePerObserver = time.Millisecond
 	// minReleaseInterval and maxReleaseInterval bound that time. The lower one lets
 	// a burst of commands cause one message; the upper one leaves most of the 2 s
