--- a/transport/shfront/stream.go
+++ b/transport/shfront/stream.go
@@ -76,4 +76,3 @@
 		}
 	}
 }
-
