--- a/review/testdata/standin/changes.go
+++ b/review/testdata/standin/changes.go
@@ -22,7 +22,7 @@
 	var routes []route
 	for i := range count {
 		routes = append(routes, route{
-			fmt.Sprintf("r-%06d", i), fmt.Sprintf("h%05d.example", i/2), fmt.Sprintf("/p%06d/", i), "safe", "proofroom", 0.4, 1.5, 2,
+			fmt.Sprintf("r-%06d", i), fmt.Sprintf("h%05d.example", i/2), fmt.Sprintf("/p%06d/", i), "safe", "proofroom", 0.4, 1.5, 2, false,
 		})
 	}
 	services := []string{"proofroom"}
--- a/review/testdata/standin/foreign.go
+++ b/review/testdata/standin/foreign.go
@@ -11,8 +11,8 @@
 func foreignPingCase(x *run) int {
 	f := x.startFleet(3, 2)
 	routes := []route{
-		{"pay", "shop.example", "/pay/", "unsafe", "depositdesk", 0.5, 2, 2},
-		{"view", "shop.example", "/view/", "safe", "proofroom", 0.4, 1.5, 2},
+		{"pay", "shop.example", "/pay/", "unsafe", "depositdesk", 0.5, 2, 2, false},
+		{"view", "shop.example", "/view/", "safe", "proofroom", 0.4, 1.5, 2, false},
 	}
 	if !f.order(0, 15*time.Second, http.MethodPut, "/config", desiredState(1, 0, []string{"depositdesk", "proofroom"}, routes)) {
 		return couldNot
--- a/review/testdata/standin/hot.go
+++ b/review/testdata/standin/hot.go
@@ -11,8 +11,8 @@
 func hotObjectCase(x *run) int {
 	f := x.startFleet(3, 2)
 	routes := []route{
-		{"kiln", "shop.example", "/kiln/", "safe", "kilnboard", 0.2, 1, 2},
-		{"view", "shop.example", "/view/", "safe", "proofroom", 0.4, 1.5, 2},
+		{"kiln", "shop.example", "/kiln/", "safe", "kilnboard", 0.2, 1, 2, false},
+		{"view", "shop.example", "/view/", "safe", "proofroom", 0.4, 1.5, 2, false},
 	}
 	if !f.order(0, 15*time.Second, http.MethodPut, "/config", desiredState(1, 0, []string{"kilnboard", "proofroom"}, routes)) {
 		return couldNot
--- a/review/testdata/standin/main.go
+++ b/review/testdata/standin/main.go
@@ -29,7 +29,7 @@
 	"pipeline": pipelineCase,
 	"hot":      hotObjectCase,
 	"foreign":  foreignPingCase,
-	"large":    largeStateCase,
+	"freeze":   freezeCase,
 	"changes":  changesCase,
 }
 
--- a/review/testdata/standin/operator.go
+++ b/review/testdata/standin/operator.go
@@ -14,6 +14,8 @@
 	name, host, prefix, kind, service string
 	slo, timeout                      float64
 	attempts                          int
+	// plain routes have no sticky objects.
+	plain bool
 }
 
 // desiredState returns the body of PUT /config.
@@ -21,7 +23,7 @@
 	var listeners []any
 	for _, r := range routes {
 		listeners = append(listeners, map[string]any{"host": r.host, "rules": []any{map[string]any{
-			"name": r.name, "kind": r.kind, "sloS": r.slo, "priority": 1, "sticky": true,
+			"name": r.name, "kind": r.kind, "sloS": r.slo, "priority": 1, "sticky": !r.plain,
 			"match":  map[string]any{"pathPrefix": r.prefix},
 			"action": map[string]any{"service": r.service, "timeoutS": r.timeout, "attempts": r.attempts, "allowedRegions": []string{}},
 		}}})
--- a/review/testdata/standin/pipeline.go
+++ b/review/testdata/standin/pipeline.go
@@ -22,7 +22,7 @@
 // progress on kept connections, some sent before the one ahead is answered.
 func pipelineCase(x *run) int {
 	f := x.startFleet(3, 2)
-	routes := []route{{"view", "shop.example", "/view/", "safe", "proofroom", 0.4, 1.5, 2}}
+	routes := []route{{"view", "shop.example", "/view/", "safe", "proofroom", 0.4, 1.5, 2, false}}
 	if !f.order(0, 15*time.Second, http.MethodPut, "/config", desiredState(1, 0, []string{"proofroom"}, routes)) {
 		return couldNot
 	}
--- a/review/testdata/standin/traffic.go
+++ b/review/testdata/standin/traffic.go
@@ -33,12 +33,16 @@
 			return
 		case <-time.After(t.pause):
 		}
-		path, key := t.path[kind](i, n)
-		ok := t.run.get(t.run.fleet.entries, i+n, "shop.example", path, key, t.limit[kind])
-		t.asked[kind].Add(1)
-		if ok {
-			t.served[kind].Add(1)
-		}
+		t.request(i, n, kind)
+	}
+}
+
+func (t *traffic) request(i, n, kind int) {
+	path, key := t.path[kind](i, n)
+	ok := t.run.get(t.run.fleet.entries, i+n, "shop.example", path, key, t.limit[kind])
+	t.asked[kind].Add(1)
+	if ok {
+		t.served[kind].Add(1)
 	}
 }
 
@@ -62,6 +66,26 @@
 	return held
 }
 
+// startEvenly sends requests of both kinds at a fixed rate each, whether those
+// before are answered or not.
+func (t *traffic) startEvenly(every time.Duration) {
+	t.done = make(chan struct{})
+	for kind := range 2 {
+		t.clients.Go(func() {
+			ticker := time.NewTicker(every)
+			defer ticker.Stop()
+			for n := 0; ; n++ {
+				select {
+				case <-t.done:
+					return
+				case <-ticker.C:
+					t.clients.Go(func() { t.request(n, n, kind) })
+				}
+			}
+		})
+	}
+}
+
 // anyObject returns paths and keys of many objects.
 func anyObject(prefix string) func(client, n int) (path, key string) {
 	return func(client, n int) (path, key string) {
