review: start no process after the end of a run

A stand-in that was interrupted while it started its daemons left four of them running (seen once, with SIGTERM in the first 0.2 s); the restart after a lack of memory had the same gap. Starting is now refused once the run ends.

--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -63,6 +63,9 @@
 	entries  []*daemon
 	stopping chan struct{}
 	stopOnce sync.Once
+	// starting is held while a process is started. After closed is set none is.
+	starting sync.Mutex
+	closed   bool
 }
 
 // startFleet starts the daemons with the commands of the deploy file.
@@ -89,7 +92,7 @@
 		} else {
 			f.entries = append(f.entries, d)
 		}
-		must(d.start())
+		must(f.start(d))
 		x.say("%s (%s) started at %s", d.name, d.role, d.ip)
 	}
 	return f
@@ -119,6 +122,16 @@
 
 func (d *daemon) address(port int) string { return fmt.Sprintf("%s:%d", d.ip, port) }
 
+// start starts a process unless the run has ended.
+func (f *fleet) start(d *daemon) error {
+	f.starting.Lock()
+	defer f.starting.Unlock()
+	if f.closed {
+		return errors.New("the run has ended")
+	}
+	return d.start()
+}
+
 func (d *daemon) start() error {
 	out, err := os.OpenFile(d.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -170,10 +183,13 @@
 	}
 }
 
-// stop ends all processes that the run started.
+// stop ends all processes that the run started. None is started afterwards.
 func (f *fleet) stop() {
 	f.stopOnce.Do(func() {
 		close(f.stopping)
+		f.starting.Lock()
+		f.closed = true
+		f.starting.Unlock()
 		for _, d := range append(append([]*daemon{}, f.controls...), f.entries...) {
 			if d.command == nil {
 				continue
--- a/review/testdata/standin/memory.go
+++ b/review/testdata/standin/memory.go
@@ -31,7 +31,9 @@
 		d.signal(syscall.SIGKILL)
 		<-d.done()
 		time.Sleep(restartDelay)
-		must(d.start())
+		if f.start(d) != nil {
+			return
+		}
 		f.run.say("%s is started again", d.name)
 	}
 }
