Log what the balancer assumed when it refused a request

The line of a request that ended without an answer now has the time left, the number of candidates, the utilization, and load, wait, response time and round trip of the candidate with the shortest wait.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -156,14 +156,15 @@
 	p := b.preferred(backends, k.hash)
 	tie := mix(k.hash, b.vmHash) // spreads entry VMs over choices of equal loss
 	utilization := utilizationOf(now, backends)
-	refusal = &Refusal{Reason: NoBackend, RetryAfter: firstSuspension}
+	refusal = &Refusal{Reason: NoBackend, RetryAfter: firstSuspension, Candidates: len(backends), Utilization: utilization}
 	var bestBackend *backendState
 	for _, n := range backends {
 		c, warm := b.estimate(now, n, t, r, k, p)
 		if !c.isEligible(r, warm, utilization) {
 			wait := c.Estimate - c.serviceTime
 			if refusal.Reason == NoBackend || wait < refusal.RetryAfter {
-				refusal = &Refusal{Reason: Overloaded, RetryAfter: max(wait, c.serviceTime/2)}
+				refusal.Reason, refusal.RetryAfter = Overloaded, max(wait, c.serviceTime/2)
+				refusal.Soonest = Estimate{Backend: n.backend.ID, Load: c.Load, Wait: wait, Warm: warm, RoundTrip: c.roundTrip}
 			}
 			continue
 		}
--- a/coordination/shbalance/balancer_test.go
+++ b/coordination/shbalance/balancer_test.go
@@ -206,6 +206,8 @@
 	assert.Assert(t, refusal != nil)
 	assert.Equal(t, refusal.Reason, shbalance.Overloaded)
 	assert.Assert(t, refusal.RetryAfter > 0)
+	assert.Equal(t, refusal.Candidates, 3)
+	assert.Assert(t, refusal.Utilization > 0.9 && refusal.Soonest.Warm > 0 && refusal.Soonest.Backend != "", "%+v", *refusal)
 }
 
 // Guards against repeated attempts at an address that cannot be reached, and
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -254,6 +254,25 @@
 	Reason Reason
 	// RetryAfter is how long until a backend server is expected to have a slot.
 	RetryAfter time.Duration
+	// Candidates is the number of backend servers that might have been used, and
+	// Utilization their load per slot.
+	Candidates  int
+	Utilization float64
+	// Soonest is the candidate with the shortest wait for a slot, zero if there is
+	// none.
+	Soonest Estimate
+}
+
+// Estimate is what a balancer assumes of one backend server for one request.
+type Estimate struct {
+	Backend shmodel.BackendServer
+	Load    float64
+	// Wait is the expected time until a slot is free. Warm is the expected time from
+	// then to the answer, if the backend server is warm for the key; RoundTrip is
+	// the part of it that the network takes.
+	Wait      time.Duration
+	Warm      time.Duration
+	RoundTrip time.Duration
 }
 
 // Reason classifies a Refusal.
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -42,6 +42,8 @@
 	recordID    shmodel.RequestID
 	attempts    []attempt
 	answerBytes int
+	// refusal is why the balancer chose no further backend server, nil if it did.
+	refusal *shbalance.Refusal
 	// lastFailure is the latest complete answer that reports a failure of the
 	// backend server. The caller gets it if no other attempt succeeds.
 	lastFailure *shorigin.Response
@@ -113,6 +115,7 @@
 			Elapsed: now.Sub(x.received), Left: x.deadline.Sub(now),
 		})
 		if refusal != nil {
+			x.refusal = refusal
 			x.giveUp(string(refusal.Reason), refusal.RetryAfter)
 			return
 		}
--- a/transport/shfront/report.go
+++ b/transport/shfront/report.go
@@ -45,10 +45,18 @@
 	if x.route != nil {
 		route = x.route.Name
 	}
-	x.handler.Logger.Log(x.request.Context(), slog.LevelInfo, "request ended without a backend server's answer",
+	attrs := []any{
 		"request", x.id, "route", route, "service", x.service, "outcome", outcome, "status", status, "reason", reason,
 		"attempts", len(x.tried), "mayHaveRun", x.mayHaveRun, "tookMs", took.Milliseconds(),
-		"version", x.view.Version, "index", x.view.Index)
+		"version", x.view.Version, "index", x.view.Index,
+	}
+	if r := x.refusal; r != nil {
+		attrs = append(attrs, "leftMs", time.Until(x.deadline).Milliseconds(), "candidates", r.Candidates,
+			"utilization", r.Utilization, "soonest", r.Soonest.Backend, "load", r.Soonest.Load,
+			"waitMs", r.Soonest.Wait.Milliseconds(), "warmMs", r.Soonest.Warm.Milliseconds(),
+			"roundTripMs", r.Soonest.RoundTrip.Milliseconds())
+	}
+	x.handler.Logger.Log(x.request.Context(), slog.LevelInfo, "request ended without a backend server's answer", attrs...)
 	x.count(outcome, status, took)
 	x.writeRecords(outcome, status, reason, took)
 }
