Send a request now and then against a learned response time

Cause: answers that came in during the pause were learned with its length. When the average of the route exceeded the timeout, no request was sent any more, so nothing corrected the average. Ruled out: requests counted as in flight for good, suspensions, round trips, load reports.

Repair: a result later than its request's deadline teaches no time. If learned times alone prevent a request, one is sent every 500 ms, to the least loaded backend server with a free slot, and its answer replaces the average. An unknown response time is no reason to refuse. The round trip had the same flaw: it is bounded by the dial timeout, and an answer that came sooner corrects it, also on a connection that was open. A reported load is bounded by what a backend server holds. Learned routes are bounded in number.

No test saw it, since none paused a VM with a short timeout and then looked whether each route is served again.

--- a/coordination/shbalance/backend_state.go
+++ b/coordination/shbalance/backend_state.go
@@ -123,12 +123,14 @@
 }
 
 // observeLoad records a load report. The report includes the requests in flight
-// from this entry VM.
+// from this entry VM. More than a backend server can hold is taken as an error of
+// the report.
 func (n *backendState) observeLoad(now time.Time, l *Load) {
 	if l == nil {
 		return
 	}
-	n.otherLoad = max(float64(l.Running+l.Waiting-n.inFlight), 0)
+	most := float64(maxReportFactor * max(n.backend.Slots, 1))
+	n.otherLoad = min(max(float64(l.Running)+float64(l.Waiting)-float64(n.inFlight), 0), most)
 	n.reportedAt = now
 }
 
@@ -157,12 +159,16 @@
 	if provesReachable(o) {
 		b.zone(n.backend.Zone).reset()
 	}
+	disturbed := c.isDisturbed(now)
 	switch o := o.(type) {
 	case Answered:
 		n.suspension = 0
 		n.observeFailure(o.Failed)
 		n.observeLoad(now, o.Load)
-		b.observeRoundTrip(n, o.Connect)
+		if disturbed {
+			return
+		}
+		b.observeRoundTrip(n, now.Sub(c.at), o)
 		if !o.Failed {
 			b.observeResponse(now, n, c, o)
 		}
@@ -171,6 +177,9 @@
 	case Broken:
 		n.observeFailure(true)
 	case Slow:
+		if disturbed {
+			return
+		}
 		n.observeFailure(true)
 		n.observeSlowdown(now.Sub(c.at)-c.roundTrip, c.Estimate-c.roundTrip)
 	case Unreachable:
@@ -213,7 +222,7 @@
 	took = max(took, time.Millisecond)
 	switch {
 	case c.Warm:
-		t.warm.observe(took)
+		t.observeWarm(now, took)
 	case c.primary:
 		// Requests of other entry VMs may have warmed the primary, so the response
 		// time counts neither as warm nor as unseen.
@@ -223,18 +232,6 @@
 	n.addWarmKey(now, c.key)
 }
 
-func (b *Balancer) observeRoundTrip(n *backendState, connect time.Duration) {
-	if connect <= 0 {
-		return
-	}
-	trip := b.roundTrips[n.backend.Zone]
-	if trip == nil {
-		trip = &movingAverage{}
-		b.roundTrips[n.backend.Zone] = trip
-	}
-	trip.observe(connect)
-}
-
 func (n *backendState) observeSlowdown(took, expected time.Duration) {
 	if took <= 0 || expected <= 0 {
 		return
--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -30,33 +30,6 @@
 	keys       map[keySpace]map[string]*key
 }
 
-// routeTimes are the learned response times of a route, without queueing and
-// round trips.
-type routeTimes struct {
-	warm movingAverage
-	// unseen is the average for keys that this entry VM has not yet sent to the
-	// backend server. Other entry VMs may have sent them.
-	unseen movingAverage
-}
-
-// movingAverage is an exponential moving average; zero means unknown.
-type movingAverage struct{ mean time.Duration }
-
-func (e *movingAverage) observe(d time.Duration) {
-	if e.mean == 0 {
-		e.mean = d
-		return
-	}
-	e.mean += time.Duration(observationWeight * float64(d-e.mean))
-}
-
-func (e *movingAverage) orDefault(d time.Duration) time.Duration {
-	if e.mean == 0 {
-		return d
-	}
-	return e.mean
-}
-
 // New returns a balancer for the entry VM at place.
 func New(place Place) *Balancer {
 	return &Balancer{
@@ -158,9 +131,14 @@
 	utilization := utilizationOf(now, backends)
 	refusal = &Refusal{Reason: NoBackend, RetryAfter: firstSuspension, Candidates: len(backends), Utilization: utilization}
 	var bestBackend *backendState
+	var probe *Choice
 	for _, n := range backends {
 		c, warm := b.estimate(now, n, t, r, k, p)
-		if !c.isEligible(r, warm, utilization) {
+		fit := c.fit(r, t, warm, utilization)
+		if fit == tooSlow && (probe == nil || c.Load < probe.Load) {
+			probe = &c
+		}
+		if fit != eligible {
 			wait := c.Estimate - c.serviceTime
 			if refusal.Reason == NoBackend || wait < refusal.RetryAfter {
 				refusal.Reason, refusal.RetryAfter = Overloaded, max(wait, c.serviceTime/2)
@@ -179,25 +157,43 @@
 		warmUp.loss, warmUp.warmsBackup = b.loss(now, n, r, warm), true
 		backup = &warmUp
 	}
+	if best == nil && probe != nil && t.isProbeDue(now) {
+		t.probedAt = now
+		best = probe
+	}
 	return best, backup, refusal
 }
 
-// isEligible reports whether a request may go to a backend server, by the load
-// of the backend server and the utilization of the service. A cold run takes as
-// long as several warm ones, so at high utilization only primaries get cold runs.
-// At still higher utilization requests whose answers would be late are refused,
-// since they would delay others.
-func (c Choice) isEligible(r Request, warm time.Duration, utilization float64) bool {
+// fit says whether a request may go to a backend server.
+type fit int
+
+const (
+	eligible fit = iota
+	// busy means that load prevents it, of the backend server or of the service.
+	busy
+	// tooSlow means that a slot is free and only learned times prevent it.
+	tooSlow
+)
+
+// fit returns whether a request may go to a backend server, by the load of the
+// backend server, the utilization of the service, and the learned times. A cold run
+// takes as long as several warm ones, so at high utilization only primaries get cold
+// runs. At still higher utilization requests whose answers would be late are
+// refused, since they would delay others.
+func (c Choice) fit(r Request, t *routeTimes, warm time.Duration, utilization float64) fit {
 	wait := c.Estimate - c.serviceTime
+	late := utilization > maxLateUtilization && wait+min(warm, c.serviceTime)+r.Elapsed > r.Route.Objective.Duration()
 	switch {
-	case c.Load >= float64(queueFactor*c.Backend.Slots), wait+min(warm, c.serviceTime) > r.Left:
-		return false
+	case c.Load >= float64(queueFactor*c.Backend.Slots), wait > r.Left, late:
+		return busy
 	case !c.Warm && !c.primary && (c.queued || utilization > maxSpillUtilization):
-		return false
-	case utilization > maxLateUtilization:
-		return wait+min(warm, c.serviceTime)+r.Elapsed <= r.Route.Objective.Duration()
+		return busy
+	case t.warm.mean == 0 || wait+min(warm, c.serviceTime) <= r.Left:
+		return eligible
+	case wait > 0:
+		return busy
 	}
-	return true
+	return tooSlow
 }
 
 // candidates returns the backend servers that may get a request.
@@ -227,7 +223,7 @@
 // estimate returns a choice without its loss, and the service time of a backend
 // server that is warm for the key.
 func (b *Balancer) estimate(now time.Time, n *backendState, t *routeTimes, r Request, k *key, p preferredBackends) (Choice, time.Duration) {
-	c := Choice{Backend: n.backend, Load: n.load(now), route: r.Route.Name, key: k.name, at: now}
+	c := Choice{Backend: n.backend, Load: n.load(now), route: r.Route.Name, key: k.name, at: now, left: r.Left}
 	c.serviceTime = b.serviceTime(n, t, r, &c, p)
 	warm := t.warm.orDefault(time.Duration(warmFraction * float64(c.serviceTime-c.roundTrip)))
 	wait := n.wait(c.Load, warm)
@@ -337,12 +333,3 @@
 	}
 	return lateLoss + latenessLoss*(x-lateFrom)
 }
-
-func (b *Balancer) times(r *shfleet.Route) *routeTimes {
-	t := b.routes[r.Name]
-	if t == nil {
-		t = &routeTimes{}
-		b.routes[r.Name] = t
-	}
-	return t
-}
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -33,6 +33,10 @@
 // suspended: it gets no requests for a while, and then one request at a time until
 // one is answered.
 //
+// What is learned from requests can be wrong, for example if the VM stood still. So
+// a learned response time never keeps all requests of a route from being sent: now
+// and then one is sent to show whether the time is still true.
+//
 // A cold backend server tolerates few requests from all entry VMs together. Each
 // of the coldSenders entry VMs that rendezvous hashing names may send an equal
 // part of its rate; the others send nothing.
@@ -100,6 +104,16 @@
 	// another process answered at its address. Meanwhile the view gets the new
 	// process.
 	replacedSuspension = 3 * time.Second
+	// probeInterval is how long a learned response time may keep all requests of a
+	// route from being sent until one is sent nevertheless, and the time between such
+	// requests.
+	probeInterval = 500 * time.Millisecond
+	// maxRoundTrip bounds an observed round trip: it is the dial timeout of the origin
+	// client.
+	maxRoundTrip = 300 * time.Millisecond
+	// stallMargin is how long after its deadline a request may end while this VM
+	// runs: timers and goroutines are late under load.
+	stallMargin = 100 * time.Millisecond
 	// newBackendPeriod is how long a backend server counts as new.
 	newBackendPeriod = 30 * time.Second
 )
@@ -123,6 +137,9 @@
 	largeFleetPrimaries = 2
 	// maxKeys bounds the remembered keys of a route at a service.
 	maxKeys = 4096
+	// maxRoutes bounds the routes with learned response times. The largest tables of
+	// the example deployments have some 2,400.
+	maxRoutes = 8192
 	// minSpareShare is the weight with which a region without slots to spare gets
 	// keys of other regions, as a fraction of the mean slots of a region.
 	minSpareShare = 0.01
@@ -149,6 +166,8 @@
 	// queueFactor bounds the load of a backend server, in multiples of its slots:
 	// it sheds requests beyond that.
 	queueFactor = 3
+	// maxReportFactor bounds a reported load, in multiples of the slots.
+	maxReportFactor = 2 * queueFactor
 	// failureLoss is the loss of a failed request that may not be retried;
 	// others lose failureRetryLoss.
 	failureLoss      = 1.0
@@ -192,6 +211,7 @@
 	route       string
 	key         string
 	at          time.Time
+	left        time.Duration // until the deadline
 	serviceTime time.Duration
 	roundTrip   time.Duration // part of serviceTime
 	primary     bool
