Let a service time end as a reason to refuse

Measured times now have an age: after a second without one the mean no longer refuses, and the next time replaces it.

--- a/coordination/shrouting/objective.go
+++ b/coordination/shrouting/objective.go
@@ -25,7 +25,7 @@
 // Choose implements Policy.
 func (Objectives) Choose(s *Snapshot, r Request) Choice {
 	serviceTime := s.meanServiceTime()
-	if r.Remaining < serviceTime {
+	if r.Remaining < serviceTime && s.MeanServiceAge <= ServiceTimeLifetime {
 		return Refuse{Reason: PastDeadline, RetryAfter: minRetryAfter}
 	}
 	if c := s.inRegion(r); c != nil {
--- a/coordination/shrouting/routing.go
+++ b/coordination/shrouting/routing.go
@@ -59,6 +59,10 @@
 	refusedFor = 25 * time.Millisecond
 	// defaultServiceTime is the assumed service time until one was measured.
 	defaultServiceTime = 20 * time.Millisecond
+	// ServiceTimeLifetime is how long after its last measurement a service time is a
+	// reason to refuse requests. They are then tried again, since nothing else would
+	// correct a service time that is too high.
+	ServiceTimeLifetime = time.Second
 	// minRetryAfter is the least Retry-After of a refusal. The header has a
 	// resolution of one second.
 	minRetryAfter = time.Second
@@ -76,6 +80,8 @@
 	InnerRoundTrip time.Duration
 	// MeanService is the measured service time of the service; zero is unknown.
 	MeanService time.Duration
+	// MeanServiceAge is the age of the last measurement in MeanService.
+	MeanServiceAge time.Duration
 }
 
 // Own is the state of the entry VM itself, in slots. It is exact.
--- a/coordination/shrouting/routing_test.go
+++ b/coordination/shrouting/routing_test.go
@@ -65,6 +65,10 @@
 		{"link share used up", shconfig.Headroom, func(s *Snapshot, r *Request) { r.Remaining = 55 * ms; s.Regions[0].LinkFreeBytes = 99 }, "Refuse"},
 		{"round trip past the deadline", shconfig.Headroom, func(_ *Snapshot, r *Request) { r.Remaining = 45 * ms }, "Refuse"},
 		{"past the deadline", shconfig.Headroom, func(s *Snapshot, r *Request) { s.Own.Free = 5; r.Remaining = 19 * ms }, "Refuse"},
+		{"service time not measured for long", shconfig.Headroom, func(s *Snapshot, r *Request) {
+			s.Own.Free = 5
+			r.Remaining, s.MeanServiceAge = 19*ms, ServiceTimeLifetime+1
+		}, "ServeOwn"},
 		{"no second hop and no second queue", shconfig.Latency, func(s *Snapshot, r *Request) { s.Peers[0].Free = 9; r.Forwarded = true }, "Refuse"},
 		{"full peer with an old report is tried", shconfig.Headroom, func(s *Snapshot, _ *Request) { s.Peers[0].ReportAge = 20 * ms }, "Forward"},
 		{"full peer that has just refused is not tried", shconfig.Headroom, func(s *Snapshot, _ *Request) { s.Peers[0].ReportAge = 20 * ms; s.Peers[0].Refused = true }, "Wait"},
--- a/transport/shentry/slots.go
+++ b/transport/shentry/slots.go
@@ -333,7 +333,7 @@
 	s.carryOut(s.table.Release(now, l.ID, result))
 	x := s.service(l.service)
 	if result == shslot.Completed && l.answered {
-		x.serviceTime.add(now.Sub(l.reservedAt))
+		x.serviceTime.add(now, now.Sub(l.reservedAt))
 	}
 	if l.queued {
 		s.finish(now, l.service, x, l.request)
@@ -466,7 +466,9 @@
 	load := s.table.Load(now, name)
 	idempotent, onceOnly := x.admission.Waiting()
 	self.Free, self.Usable, self.Queued = load.Free, load.Usable, idempotent+onceOnly
-	return shrouting.Snapshot{Own: self, Peers: x.peers.Peers(now), MeanService: x.serviceTime.value()}
+	return shrouting.Snapshot{
+		Own: self, Peers: x.peers.Peers(now), MeanService: x.serviceTime.average, MeanServiceAge: now.Sub(x.serviceTime.at),
+	}
 }
 
 // BeginForward records that a request is forwarded to a peer. The returned
@@ -486,19 +488,21 @@
 	}
 }
 
-// movingAverage is an exponentially weighted moving average of durations.
-type movingAverage struct{ average time.Duration }
+// movingAverage is an exponentially weighted moving average of durations. It starts
+// anew after shrouting.ServiceTimeLifetime without a sample.
+type movingAverage struct {
+	average time.Duration
+	at      time.Time // of the last sample
+}
 
 // averageWindow makes 1/32 the weight of each new sample, so that the last 32
 // requests have most of the weight.
 const averageWindow = 32
 
-func (m *movingAverage) add(d time.Duration) {
-	if m.average == 0 {
+func (m *movingAverage) add(now time.Time, d time.Duration) {
+	if m.average == 0 || now.Sub(m.at) > shrouting.ServiceTimeLifetime {
 		m.average = d
-		return
 	}
 	m.average += (d - m.average) / averageWindow
+	m.at = now
 }
-
-func (m *movingAverage) value() time.Duration { return m.average }
