Close connections without losing the last answer

Cause: net/http closes the connection after an answer with Connection: close. When unread input is there, the operating system resets the connection and drops the output that has not been acknowledged. Ruled out: the end of the process and the grace period (the cuts come seconds earlier), backend servers, requests that are wholly in net/http's buffer.

Repair: package shlistener, used by all HTTP servers (entry, readiness, directory, control, metrics; those of our own interface and of operators). A stop waits for these connections, within its time.

No test saw it, since no client of ours pipelines on a narrow link during a stop.

--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -24,6 +24,7 @@
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
 	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/internal/shlistener"
 	"sequoiahollow/transport/shaccount"
 	"sequoiahollow/transport/shentry"
 	"sequoiahollow/transport/shpeer"
@@ -366,12 +367,18 @@
 // httpServers are the HTTP listeners of the process.
 type httpServers struct {
 	failed  chan error
-	servers map[string]*http.Server
+	servers map[string]httpServer
+}
+
+// httpServer is an HTTP server and the listener that it serves.
+type httpServer struct {
+	*http.Server
+	accepts *shlistener.Listener
 }
 
 func (h *httpServers) init() {
 	h.failed = make(chan error, 8)
-	h.servers = map[string]*http.Server{}
+	h.servers = map[string]httpServer{}
 }
 
 func (h *httpServers) fail(err error) {
@@ -386,24 +393,24 @@
 	if err != nil {
 		return fmt.Errorf("%s address: %w", name, err)
 	}
-	server := shentry.NewServer(handler)
+	server := httpServer{shentry.NewServer(handler), &shlistener.Listener{Listener: l}}
 	h.servers[name] = server
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(server.accepts); !errors.Is(err, http.ErrServerClosed) {
 			h.fail(fmt.Errorf("%s listener: %w", name, err))
 		}
 	}()
 	return nil
 }
 
-// shutdown closes a listener and waits for its requests in flight until the
-// context ends.
+// shutdown closes a listener and waits for its requests in flight, and until the
+// clients have their answers, until the context ends.
 func (h *httpServers) shutdown(ctx context.Context, name string) error {
-	server := h.servers[name]
-	if server == nil {
+	server, ok := h.servers[name]
+	if !ok {
 		return nil
 	}
-	return server.Shutdown(ctx)
+	return server.accepts.Shutdown(ctx, server.Server)
 }
 
 func (h *httpServers) close() error {
--- a/transport/shoperator/server.go
+++ b/transport/shoperator/server.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"sequoiahollow/transport/internal/shlistener"
 )
 
 // Limits of the interface.
@@ -68,6 +70,7 @@
 
 // Serve answers on l until ctx ends, then finishes the requests in progress.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	accepts := &shlistener.Listener{Listener: l}
 	server := &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -81,9 +84,9 @@
 	cancel := context.AfterFunc(ctx, func() {
 		deadline, done := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer done()
-		stopped <- server.Shutdown(deadline)
+		stopped <- accepts.Shutdown(deadline, server)
 	})
-	err := server.Serve(l)
+	err := server.Serve(accepts)
 	if cancel() || !errors.Is(err, http.ErrServerClosed) {
 		return &Error{Op: "serve operators", Kind: KindInternal, Err: err}
 	}
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -11,7 +11,7 @@
 // serves requests, since callers keep its address for a while, and tells callers
 // to close their connections. After serveShare of the time that it has to stop, it
 // refuses new requests as not run; it exits when the requests in progress have
-// ended. A control VM first transfers the leadership.
+// ended and the callers have their answers. A control VM first transfers the leadership.
 package shsteer
 
 import (
@@ -27,6 +27,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/internal/shlistener"
 	"sequoiahollow/transport/shpeer"
 )
 
@@ -73,10 +74,16 @@
 	metrics *metrics.Set
 	client  *shpeer.Client
 	server  *shpeer.Server
-	http    []*http.Server
+	http    []listener
 	failed  chan error
 }
 
+// listener is an HTTP server and the listener that it serves.
+type listener struct {
+	*http.Server
+	accepts *shlistener.Listener
+}
+
 func newProcess(s shsettings.Fleet, log *slog.Logger) *process {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
@@ -108,12 +115,13 @@
 	if err != nil {
 		return nil, err
 	}
+	accepts := &shlistener.Listener{Listener: l}
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
 	}
-	p.http = append(p.http, s)
-	go p.serveListener(func() error { return s.Serve(l) })
+	p.http = append(p.http, listener{s, accepts})
+	go p.serveListener(func() error { return s.Serve(accepts) })
 	return s, nil
 }
 
@@ -149,12 +157,12 @@
 }
 
 // shutdown closes the HTTP listeners and waits up to limit for the requests in
-// progress.
+// progress and until the clients have their answers.
 func (p *process) shutdown(limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	for _, s := range p.http {
-		if err := s.Shutdown(ctx); err != nil {
+		if err := s.accepts.Shutdown(ctx, s.Server); err != nil {
 			p.Log.Warn("requests still in progress at the end of the stop", "error", err)
 		}
 	}
