Let known slowness and failures of a backend server fade

One that seemed slow or failing, also because this VM stood still, got no requests while the others queued, for as long as it lived.

Slowness and failures now fade with a time constant of 20 s while the backend server answers no requests of this VM. They only ever change the order of choices, so this is no refusal; suspensions already end by the clock.

Failed before: TestDegradedIsUsedAgain, share 0.000 of the requests a minute after it was sound again (0.500 before it was degraded), for failures, broken connections and slow answers.

--- a/coordination/shbalance/backend_state.go
+++ b/coordination/shbalance/backend_state.go
@@ -29,9 +29,10 @@
 	warmKeys map[string]time.Time
 	// failures is a moving average of the fraction of requests that failed.
 	// logSlowdown is one of the logarithm of the ratio of actual to expected
-	// response times.
+	// response times. Both fade from learnedAt on.
 	failures    float64
 	logSlowdown float64
+	learnedAt   time.Time
 
 	suspendedUntil time.Time
 	suspension     time.Duration
@@ -139,6 +140,19 @@
 	n.suspendedUntil = now.Add(n.suspension)
 }
 
+// fade lets what is known of failures and slowness fade, so that a backend server
+// that gets no requests because of it gets some again.
+func (n *backendState) fade(now time.Time) {
+	age := now.Sub(n.learnedAt)
+	if age < fadeInterval {
+		return
+	}
+	rest := math.Exp(-float64(age) / float64(fadeTime))
+	n.failures *= rest
+	n.logSlowdown *= rest
+	n.learnedAt = now
+}
+
 func (n *backendState) observeFailure(failed bool) {
 	value := 0.0
 	if failed {
@@ -156,6 +170,8 @@
 		return
 	}
 	n.inFlight--
+	n.fade(now)
+	n.learnedAt = now
 	if provesReachable(o) {
 		b.zone(n.backend.Zone).reset()
 	}
--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -86,7 +86,7 @@
 }
 
 func (b *Balancer) newBackendState(now time.Time, backend shfleet.Backend) *backendState {
-	n := &backendState{joined: now, warmKeys: map[string]time.Time{}}
+	n := &backendState{joined: now, learnedAt: now, warmKeys: map[string]time.Time{}}
 	n.region = b.place.Regions[backend.Zone]
 	switch {
 	case backend.Zone == b.place.Zone:
@@ -223,6 +223,7 @@
 // estimate returns a choice without its loss, and the service time of a backend
 // server that is warm for the key.
 func (b *Balancer) estimate(now time.Time, n *backendState, t *routeTimes, r Request, k *key, p preferredBackends) (Choice, time.Duration) {
+	n.fade(now)
 	c := Choice{Backend: n.backend, Load: n.load(now), route: r.Route.Name, key: k.name, at: now, left: r.Left}
 	c.serviceTime = b.serviceTime(n, t, r, &c, p)
 	warm := t.warm.orDefault(time.Duration(warmFraction * float64(c.serviceTime-c.roundTrip)))
--- a/coordination/shbalance/learned_test.go
+++ b/coordination/shbalance/learned_test.go
@@ -131,3 +131,47 @@
 		}),
 	).Draw(t, "observation")
 }
+
+// Guards against a backend server that gets no requests for good because it was
+// slow or failed once, while the others queue: nothing but an answer would show that
+// it is sound again.
+func TestDegradedIsUsedAgain(t *testing.T) {
+	for name, bad := range map[string]shbalance.Observation{
+		"failing": shbalance.Answered{Failed: true}, "broken": shbalance.Broken{}, "slow": shbalance.Answered{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const perRound = 16 // of 18 slots
+			b := balancer("e1", "n1", fleet(2))
+			r := request("k")
+			r.Route.Sticky, r.Route.Objective = false, 2000
+			now := start
+			// send returns the share of the requests that the backend server n1-0 gets.
+			send := func(rounds int, took time.Duration, seen shbalance.Observation) float64 {
+				n := 0
+				for range rounds {
+					var choices []shbalance.Choice
+					for range perRound {
+						choices = append(choices, pick(t, b, now, r))
+					}
+					now = now.Add(200 * time.Millisecond)
+					for _, c := range choices {
+						if c.Backend.ID != "n1-0" {
+							b.Done(now, c, shbalance.Answered{})
+							continue
+						}
+						n++
+						b.Done(now.Add(took), c, seen)
+					}
+				}
+				return float64(n) / float64(rounds*perRound)
+			}
+			sound := send(20, 0, shbalance.Answered{})
+			send(40, 3*time.Second, bad)
+			degraded := send(5, 0, shbalance.Answered{})
+			assert.Assert(t, degraded < sound/2, "share of %.3f, %.3f before", degraded, sound)
+			send(300, 0, shbalance.Answered{})
+			again := send(20, 0, shbalance.Answered{})
+			assert.Assert(t, again > sound*0.8, "share of %.3f a minute later, %.3f before", again, sound)
+		})
+	}
+}
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -114,6 +114,11 @@
 	// stallMargin is how long after its deadline a request may end while this VM
 	// runs: timers and goroutines are late under load.
 	stallMargin = 100 * time.Millisecond
+	// fadeTime is the time constant with which known failures and slowness of a
+	// backend server fade while it answers no requests of this VM, and fadeInterval
+	// the step in which they do.
+	fadeTime     = 20 * time.Second
+	fadeInterval = time.Second
 	// newBackendPeriod is how long a backend server counts as new.
 	newBackendPeriod = 30 * time.Second
 )
