Read large answers without leaving their size as garbage

TestEndlessBytes failed beside load ('body without length': the heap grew to 167 MiB, bound 142 MiB).

Cause: a body without length was read in steps that each grew a buffer of their own and were then appended to one that grew again; the copies became garbage faster than they were collected. Ruled out: the bound on what is held at once (a live body never exceeded it).

--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -323,25 +324,52 @@
 
 // readBody reads a body that is held until it is complete. Beyond the first
 // bodyStep bytes it takes memory from what all such bodies share, a step at a time.
+// The steps are joined only at the end: a buffer that grows would leave as much
+// garbage again.
 func (x *conn) readBody(answer *http.Response) ([]byte, error) {
 	reserved := int64(0)
 	defer func() { x.held.Add(-reserved) }()
-	var body []byte
-	for {
-		x.input.left = bodyStep + maxHead
-		step, err := io.ReadAll(io.LimitReader(answer.Body, bodyStep))
-		body = append(body, step...)
-		switch {
-		case err != nil, len(step) < bodyStep:
-			return body, err
-		case len(body) >= maxBody:
+	x.input.left = bodyStep + maxHead
+	first, err := io.ReadAll(io.LimitReader(answer.Body, bodyStep))
+	if err != nil || len(first) < bodyStep {
+		return first, err
+	}
+	for steps := [][]byte{first}; ; {
+		read := len(steps) * bodyStep
+		if read >= maxBody {
 			return nil, fmt.Errorf("a body of %d bytes or more", maxBody)
 		}
 		reserved += bodyStep
 		if x.held.Add(bodyStep) > maxHeldBytes {
-			return nil, fmt.Errorf("no memory for a body of %d bytes or more", len(body))
+			return nil, fmt.Errorf("no memory for a body of %d bytes or more", read)
+		}
+		step := make([]byte, bodyStep)
+		x.input.left = bodyStep + maxHead
+		n, err := readUpTo(answer.Body, step)
+		steps = append(steps, step[:n])
+		switch {
+		case err != nil:
+			return nil, err
+		case n < bodyStep:
+			return bytes.Join(steps, nil), nil
+		}
+	}
+}
+
+// readUpTo reads until p is full or r has ended. Unlike io.ReadFull it tells the end
+// of r from an answer that breaks off.
+func readUpTo(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) {
+		m, err := r.Read(p[n:])
+		n += m
+		switch {
+		case errors.Is(err, io.EOF):
+			return n, nil
+		case err != nil:
+			return n, err
 		}
 	}
+	return n, nil
 }
 
 // isStreamed reports whether the body of an answer is returned as a Stream.
