--- a/coordination/shraft/log.go
+++ b/coordination/shraft/log.go
@@ -104,6 +104,20 @@
 	l.prevIndex, l.prevTerm = first-1, term
 }
 
+// trailing returns the first of the entries up to index that are kept: at most limit
+// of them, with at most maxBytes of data.
+func (l *raftLog) trailing(index, limit uint64, maxBytes int) uint64 {
+	first, size := index+1, 0
+	for first > l.prevIndex+1 && index-first+1 < limit {
+		size += len(l.at(first - 1).Data)
+		if size > maxBytes {
+			break
+		}
+		first--
+	}
+	return first
+}
+
 // findConflictByTerm returns the largest index up to the given one whose entry
 // may have a term of at most term, with the term of that entry if it is known.
 func (l *raftLog) findConflictByTerm(index, term uint64) (uint64, uint64) {
--- a/coordination/shraft/node.go
+++ b/coordination/shraft/node.go
@@ -294,9 +294,7 @@
 	}
 	n.history = n.history.compact(ev.Index)
 	n.snapshot = Snapshot{Index: ev.Index, Term: term, Membership: n.history[0].membership, Data: ev.Data}
-	if ev.Index > n.config.TrailingEntries {
-		n.log.dropBefore(ev.Index - n.config.TrailingEntries + 1)
-	}
+	n.log.dropBefore(n.log.trailing(ev.Index, n.config.TrailingEntries, n.config.TrailingBytes))
 	n.pending.snapshot = true
 	n.pending.keepFrom = n.log.prevIndex + 1
 }
--- a/coordination/shraft/raft.go
+++ b/coordination/shraft/raft.go
@@ -107,6 +107,7 @@
 	DefaultSnapshotChunkBytes     = 256 << 10
 	DefaultMaxInFlightEntries     = 4096
 	DefaultTrailingEntries        = 1024
+	DefaultTrailingBytes          = 4 << 20
 )
 
 // Config configures a Node. Zero fields take the defaults, except ID and Seed.
@@ -137,6 +138,9 @@
 	// TrailingEntries is the number of entries before a snapshot that are kept, so
 	// that a member that is slightly behind needs no snapshot.
 	TrailingEntries uint64
+	// TrailingBytes bounds the data of these entries. A member that is further behind
+	// gets the snapshot.
+	TrailingBytes int
 }
 
 func (c Config) withDefaults() Config {
@@ -148,6 +152,7 @@
 	defaultTo(&c.SnapshotChunkBytes, DefaultSnapshotChunkBytes)
 	defaultTo(&c.MaxInFlightEntries, DefaultMaxInFlightEntries)
 	defaultTo(&c.TrailingEntries, DefaultTrailingEntries)
+	defaultTo(&c.TrailingBytes, DefaultTrailingBytes)
 	return c
 }
 
--- a/transport/shstore/shstore.go
+++ b/transport/shstore/shstore.go
@@ -89,6 +89,9 @@
 	DefaultTick = 20 * time.Millisecond
 	// DefaultSnapshotEvery is a number of entries.
 	DefaultSnapshotEvery = 8192
+	// DefaultSnapshotBytes is the size of a segment of the log. The entries since the
+	// last snapshot are also held in memory, of which a control VM has 280 MB.
+	DefaultSnapshotBytes = shlog.DefaultSegmentBytes
 	// DefaultJoinInterval is the time between announcements of a store that
 	// belongs to no group.
 	DefaultJoinInterval = time.Second
@@ -123,6 +126,9 @@
 	// their data has at least half the size of the last snapshot. It is made after
 	// snapshotFactor times that number at the latest.
 	SnapshotEvery uint64
+	// SnapshotBytes is the size of the data of entries after which a snapshot is made,
+	// whatever their number, if it is at least twice the size of the last snapshot.
+	SnapshotBytes int
 	// JoinInterval is the time between requests to join of a store without a
 	// group.
 	JoinInterval time.Duration
@@ -143,6 +149,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.JoinInterval == 0 {
 		c.JoinInterval = DefaultJoinInterval
 	}
--- a/transport/shstore/store.go
+++ b/transport/shstore/store.go
@@ -351,10 +351,11 @@
 // snapshotIfDue makes a snapshot and compacts the log when it has grown enough.
 func (s *Store) snapshotIfDue() error {
 	entries := s.applied - s.snapshotIndex
-	if entries < s.config.SnapshotEvery {
+	switch {
+	case s.bytesSinceSnapshot >= max(s.config.SnapshotBytes, 2*s.snapshotBytes):
+	case entries < s.config.SnapshotEvery:
 		return nil
-	}
-	if 2*s.bytesSinceSnapshot < s.snapshotBytes && entries < snapshotFactor*s.config.SnapshotEvery {
+	case 2*s.bytesSinceSnapshot < s.snapshotBytes && entries < snapshotFactor*s.config.SnapshotEvery:
 		return nil
 	}
 	data, err := s.config.StateMachine.Snapshot()
--- a/transport/shstore/store_test.go
+++ b/transport/shstore/store_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,14 +26,20 @@
 const testTimeout = 20 * time.Second
 
 // wordList is a state machine that appends words and returns their count.
-type wordList struct{ words []string }
+type wordList struct {
+	words     []string
+	snapshots atomic.Int32
+}
 
 func (l *wordList) Apply(_ uint64, _ time.Time, data []byte) []byte {
 	l.words = append(l.words, string(data))
 	return fmt.Append(nil, len(l.words))
 }
 
-func (l *wordList) Snapshot() ([]byte, error) { return []byte(strings.Join(l.words, " ")), nil }
+func (l *wordList) Snapshot() ([]byte, error) {
+	l.snapshots.Add(1)
+	return []byte(strings.Join(l.words, " ")), nil
+}
 
 func (l *wordList) Restore(data []byte) error {
 	l.words = strings.Fields(string(data))
@@ -79,14 +86,19 @@
 }
 
 func (v *vm) start() {
+	v.t.Helper()
+	v.list = &wordList{}
+	v.startWith(v.list)
+}
+
+func (v *vm) startWith(state shstore.StateMachine) {
 	v.t.Helper()
 	if v.listener == nil {
 		l, err := net.Listen("tcp", v.config.Address)
 		assert.NilError(v.t, err)
 		v.listener = l
 	}
-	v.list = &wordList{}
-	v.config.StateMachine = v.list
+	v.config.StateMachine = state
 	v.server = shpeer.NewServer(shpeer.Config{})
 	v.client = shpeer.NewClient(shpeer.Config{Self: v.config.Address})
 	v.config.Server, v.config.Client = v.server, v.client
@@ -354,3 +366,36 @@
 	assert.Equal(t, shstore.KindOf(err), shstore.KindStorage)
 	assert.Equal(t, shlog.KindOf(err), shlog.KindDamaged)
 }
+
+// lastWord is a state machine that keeps the last word only, so that its snapshot is
+// small whatever the entries are.
+type lastWord struct{ wordList }
+
+func (l *lastWord) Snapshot() ([]byte, error) {
+	l.snapshots.Add(1)
+	return []byte(strings.Join(l.words[max(len(l.words)-1, 0):], "")), nil
+}
+
+// Guards against a few large entries that fill memory and disk before their number
+// makes a snapshot due, and again at each restart.
+func TestLargeEntriesMakeSnapshots(t *testing.T) {
+	const entries, size = 48, 512 << 10
+	v := group(t, 1)[0]
+	v.stop()
+	state := &lastWord{}
+	v.config.SnapshotEvery, v.config.Raft.TrailingEntries = 0, 0
+	v.startWith(state)
+	leader(t, []*vm{v}) // the group has been created, with a snapshot
+	before := state.snapshots.Load()
+	word := strings.Repeat("x", size)
+	for range entries {
+		propose(t, []*vm{v}, word)
+	}
+	assert.Equal(t, state.snapshots.Load()-before, int32(entries*size/shstore.DefaultSnapshotBytes))
+	v.stop()
+	again := &lastWord{}
+	v.startWith(again)
+	propose(t, []*vm{v}, word)
+	kept := shstore.DefaultSnapshotBytes + shraft.DefaultTrailingBytes
+	assert.Assert(t, len(again.words)*size <= kept, "%d entries are applied again", len(again.words))
+}
