Ignore announcements of unknown services for addresses in use

Cause: an announcement with an ID of its own ended the backend server at its address for good, whatever its service. Ruled out: decoding and routing.

A control VM ignores and logs such an announcement if its service is in no document and that of the backend server is. The check is made before the proposal, so that VMs of different versions apply the same log alike.

--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -188,6 +188,26 @@
 	return true
 }
 
+// ForeignAt returns the backend server at the address of an announcement whose
+// service is in no document, while that of the backend server is. Such an
+// announcement comes from another program and does not show that the backend server
+// has ended.
+func (s *State) ForeignAt(b Backend) (Backend, bool) {
+	if s.namesService(b.Service) {
+		return Backend{}, false
+	}
+	for id, other := range s.Backends {
+		if id != b.ID && other.Address == b.Address && s.namesService(other.Service) {
+			return other, true
+		}
+	}
+	return Backend{}, false
+}
+
+func (s *State) namesService(name shmodel.Service) bool {
+	return slices.ContainsFunc(s.Document.Table.Services, func(x Service) bool { return x.Name == name })
+}
+
 func (s *State) removeBackend(i Instance, ended bool) {
 	known, listed := s.Backends[i.ID]
 	if i.Born == 0 {
--- a/coordination/shfleet/state_test.go
+++ b/coordination/shfleet/state_test.go
@@ -207,3 +207,27 @@
 	fmt.Println(x.Route("shop", "/orders/7").Name, x.Route("shop", "/order").Name, x.Route("other", "/"))
 	// Output: orders all <nil>
 }
+
+// Guards against another program whose announcement names the address of a running
+// backend server and takes it out of use.
+func TestForeignAt(t *testing.T) {
+	var s shfleet.State
+	running := backend("a", 5, "10.0.0.1:80")
+	s.Apply(1, time.Time{}, putBackends(running))
+	with := func(service shmodel.Service, address string) shfleet.Backend {
+		b := backend("b", 9, address)
+		b.Service = service
+		return b
+	}
+	isForeign := func(b shfleet.Backend) bool { _, ok := s.ForeignAt(b); return ok }
+	assert.Assert(t, !isForeign(with("unnamed", running.Address)), "no document names a service yet")
+	d := document(3, 0, "x")
+	d.Table.Services = []shfleet.Service{{Name: "lookups"}, {Name: "payments"}}
+	s.Apply(2, time.Time{}, shfleet.PutDocument{Document: d})
+	assert.Assert(t, isForeign(with("unnamed", running.Address)))
+	assert.Assert(t, !isForeign(with("unnamed", "10.0.0.2:80")), "nobody else has the address")
+	assert.Assert(t, !isForeign(with("payments", running.Address)), "addresses are used again by other services")
+	again := running
+	again.Service = "unnamed"
+	assert.Assert(t, !isForeign(again), "it is the backend server itself")
+}
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -310,6 +310,11 @@
 	if !r.state.Admits(a.Backend) {
 		return false
 	}
+	if other, ok := r.state.ForeignAt(a.Backend); ok {
+		r.config.Logger.Warn("announcement of an unknown service for the address of a backend server ignored",
+			"announced", a.ID, "service", a.Service, "address", a.Address, "id", other.ID)
+		return false
+	}
 	if last := r.sequences[a.ID]; last.born == a.Born && a.Sequence <= last.number {
 		return false
 	}
--- a/transport/shregistry/registry_test.go
+++ b/transport/shregistry/registry_test.go
@@ -228,3 +228,27 @@
 		}
 	}
 }
+
+// Guards against a backend server that is taken out of use by an announcement of
+// another program for its address.
+func TestForeignAnnouncement(t *testing.T) {
+	vms := startGroup(t)
+	d := shfleet.Document{Version: 1, Source: []byte("d"), Table: shfleet.Table{Services: []shfleet.Service{{Name: "s"}}}}
+	retry(t, func(ctx context.Context) error { return vms[0].PutDocument(ctx, d) })
+	own := announcement("b", 1)
+	retry(t, func(ctx context.Context) error { return vms[1].Announce(ctx, own) })
+	w := startObserver(t, vms[0])
+	listed := func() bool { return w.View().Backends["b"].Address == own.Address }
+	eventually(t, "the backend server is listed", listed)
+	foreign := announcement("other", 1)
+	foreign.Born, foreign.Service, foreign.Address = 2, "unnamed", own.Address
+	for _, v := range vms {
+		retry(t, func(ctx context.Context) error { _, err := v.Document(ctx); return err })
+		retry(t, func(ctx context.Context) error { return v.Announce(ctx, foreign) })
+	}
+	own.Sequence++
+	retry(t, func(ctx context.Context) error { return vms[1].Announce(ctx, own) })
+	retry(t, func(ctx context.Context) error { return vms[2].Announce(ctx, announcement("last", 1)) })
+	eventually(t, "all of that is in the view", func() bool { return w.View().Backends["last"].ID != "" })
+	assert.Assert(t, listed(), "%v", w.View().Backends)
+}
