Count a crash once per backend server, and probe refused requests

Cause: each broken connection was reported as a crash of its own, and only an answer cleared the count, but nothing was sent any more. Ruled out: suspension of the backend server; lookups of other objects were served.

A report names the instance. The leader drops reports of an instance that it has for the request, before they become entries, so the state is the same in all builds. A probe is not repeated at another backend server.

Failed before: TestCrashCountsOncePerInstance (count 6, wanted 2).

--- a/coordination/shfleet/command.go
+++ b/coordination/shfleet/command.go
@@ -67,6 +67,9 @@
 type ReportCrash struct {
 	Digest  shmodel.Digest `json:"digest"`
 	Cleared bool           `json:"cleared,omitempty"`
+	// Instance is the backend server that crashed, nil in reports of earlier builds.
+	// The state does not use it: the leader drops repeated reports.
+	Instance *Instance `json:"instance,omitempty"`
 }
 
 func (PutDocument) command()    {}
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -77,9 +77,12 @@
 	x.key = h.Dialect.Key(x.request.Header)
 	x.digest = x.contentDigest()
 	h.countRequest(x.service, x.received)
-	if x.view.CrashCounts[x.digest] >= crashLimit {
-		x.refuse("the request broke several backend servers", maxRetryAfter)
-		return
+	if n := x.view.CrashCounts[x.digest]; n >= crashLimit {
+		if !h.mayProbeCrash(x.received, x.digest, n) {
+			x.refuse(reasonCrashes, maxRetryAfter)
+			return
+		}
+		h.Logger.Info("request is sent although it broke several backend servers", "request", x.id, "digest", x.digest, "crashes", n)
 	}
 	x.sendUntilFinal()
 }
@@ -199,7 +202,7 @@
 	default:
 		x.handler.Balancer.Done(now, c, shbalance.Broken{})
 		if kind == shorigin.KindBroken {
-			x.handler.Report(CrashReport{Digest: x.digest})
+			x.handler.Report(CrashReport{Digest: x.digest, Instance: &c.Backend.Instance})
 		}
 	}
 	x.mayHaveRun++
@@ -267,6 +270,8 @@
 	switch {
 	case x.mayHaveRun >= x.route.Attempts:
 		return "attempts used up"
+	case x.mayHaveRun > 0 && x.view.CrashCounts[x.digest] >= crashLimit:
+		return reasonCrashes
 	case x.dialFailures >= maxDialFailures:
 		return "backend servers not reachable"
 	case float64(left) < minAttemptShare*float64(x.route.Objective.Duration()):
--- a/transport/shfront/handler.go
+++ b/transport/shfront/handler.go
@@ -51,6 +51,8 @@
 	budgets map[shmodel.Service]*shlimit.ShareBudget
 	// currentWeights holds the state of the weighted round-robin by route name.
 	currentWeights map[string][]float64
+	// crashProbes holds requests that are refused for their crash counts.
+	crashProbes map[shmodel.Digest]crashProbe
 }
 
 // ServeHTTP implements http.Handler.
--- a/transport/shfront/handler_test.go
+++ b/transport/shfront/handler_test.go
@@ -259,6 +259,7 @@
 	b := newFixture(t, 1, reset)
 	assert.Equal(t, b.send(t, "GET", idempotent, "").StatusCode, http.StatusBadGateway)
 	report := <-b.reports
+	assert.Equal(t, *report.Instance, b.view.Backends["b0"].Instance)
 	b.view.CrashCounts = map[shmodel.Digest]int{report.Digest: 3}
 	assert.Equal(t, b.send(t, "GET", idempotent, "").StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, b.runs(), 1)
--- a/transport/shfront/shfront.go
+++ b/transport/shfront/shfront.go
@@ -35,6 +35,7 @@
 	"time"
 
 	"sequoiahollow/coordination/shbalance"
+	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
 )
@@ -66,8 +67,6 @@
 	streamFrom = 32 << 10
 	// streamPiece is the size of the buffer for such an answer, in bytes.
 	streamPiece = 16 << 10
-	// crashLimit is the crash count from which a request is refused.
-	crashLimit = 3
 )
 
 // Dialect describes the headers of requests and answers. Header names are
@@ -111,6 +110,8 @@
 type CrashReport struct {
 	Digest  shmodel.Digest
 	Cleared bool
+	// Instance is the backend server that seems to have crashed, nil if Cleared.
+	Instance *shfleet.Instance
 }
 
 // Account takes account records. The methods must not block.
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -49,6 +49,8 @@
 	// backend server, by the monotonic clock of this VM.
 	announcedAt map[shmodel.BackendServer]time.Time
 	sequences   map[shmodel.BackendServer]sequence
+	// reportedCrashes is kept in the memory of the leader only.
+	reportedCrashes map[reportedCrash]bool
 
 	packer changePacker
 }
@@ -236,6 +238,9 @@
 	if err := r.checkFormed(); err != nil {
 		return ProposeResponse{}, err
 	}
+	if r.isRepeatedCrash(p.Command) {
+		return ProposeResponse{Result: shfleet.Accepted}, nil
+	}
 	result, err := r.store.Propose(ctx, p.Command)
 	return ProposeResponse{Result: shfleet.Result(result)}, err
 }
--- a/transport/shregistry/registry_test.go
+++ b/transport/shregistry/registry_test.go
@@ -252,3 +252,40 @@
 	eventually(t, "all of that is in the view", func() bool { return w.View().Backends["last"].ID != "" })
 	assert.Assert(t, listed(), "%v", w.View().Backends)
 }
+
+// Guards against one crash that counts several times, because several callers sent
+// equal requests to the backend server: all later ones would be refused.
+func TestCrashCountsOncePerInstance(t *testing.T) {
+	vms := startGroup(t)
+	w := startObserver(t, vms[0])
+	digest := shmodel.Digest{1}
+	report := func(v *vm, c shfleet.ReportCrash) {
+		c.Digest = digest
+		retry(t, func(ctx context.Context) error { _, err := v.Propose(ctx, c); return err })
+	}
+	crashed := func(id string) shfleet.ReportCrash {
+		return shfleet.ReportCrash{Instance: &shfleet.Instance{ID: shmodel.BackendServer(id), Born: 1}}
+	}
+	markers := 0
+	counted := func(want int) {
+		t.Helper()
+		markers++
+		last := announcement(fmt.Sprint("marker", markers), 1)
+		retry(t, func(ctx context.Context) error { return vms[0].Announce(ctx, last) })
+		eventually(t, "the view has all reports", func() bool { return w.View().Backends[last.ID].ID != "" })
+		assert.Equal(t, w.View().CrashCounts[digest], want)
+	}
+	for _, v := range vms {
+		report(v, crashed("a"))
+	}
+	report(vms[0], crashed("b"))
+	counted(2)
+	report(vms[1], shfleet.ReportCrash{Cleared: true})
+	counted(0)
+	report(vms[2], crashed("a"))
+	counted(1)
+	for range 2 {
+		report(vms[3], shfleet.ReportCrash{})
+	}
+	counted(3)
+}
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -165,7 +165,7 @@
 		select {
 		case r := <-e.crashReports:
 			callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-			err := e.watcher.Propose(callCtx, shfleet.ReportCrash{Digest: r.Digest, Cleared: r.Cleared})
+			err := e.watcher.Propose(callCtx, shfleet.ReportCrash{Digest: r.Digest, Cleared: r.Cleared, Instance: r.Instance})
 			cancel()
 			if err != nil {
 				e.Log.Warn("crash report not recorded", "digest", r.Digest, "error", err)
