--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -138,18 +138,10 @@
 	var probe *Choice
 	for _, n := range backends {
 		c, warm := b.estimate(now, n, t, r, k, p)
-		fit := c.fit(r, t, warm, utilization)
-		if n.isReturning(now) {
-			fit = busy
-		}
-		if fit == tooSlow && (probe == nil || c.Load < probe.Load) {
-			probe = &c
-		}
-		if fit != eligible {
-			wait := c.Estimate - c.serviceTime
-			if refusal.Reason == NoBackend || wait < refusal.RetryAfter {
-				refusal.Reason, refusal.RetryAfter = Overloaded, max(wait, c.serviceTime/2)
-				refusal.Soonest = Estimate{Backend: n.backend.ID, Load: c.Load, Wait: wait, Warm: warm, RoundTrip: c.roundTrip}
+		if fit := c.fit(now, n, r, t, warm, utilization); fit != eligible {
+			refusal.add(c, warm)
+			if fit == tooSlow {
+				probe = leastLoaded(probe, &c)
 			}
 			continue
 		}
@@ -164,16 +156,34 @@
 		warmUp.loss, warmUp.warmsBackup = b.loss(now, n, r, warm), true
 		backup = &warmUp
 	}
-	if best == nil && probe != nil && t.isProbeDue(now) {
+	switch {
+	case len(backends) == 0:
+		b.addStatements(now, r, refusal)
+	case best == nil && probe != nil && t.isProbeDue(now):
 		t.probedAt = now
 		best = probe
 	}
-	if len(backends) == 0 {
-		b.addStatements(now, r, refusal)
-	}
 	return best, backup, refusal
 }
 
+// leastLoaded returns the choice with the lower load; the first one may be nil.
+func leastLoaded(c, other *Choice) *Choice {
+	if c == nil || other.Load < c.Load {
+		return other
+	}
+	return c
+}
+
+// add takes a candidate that is not eligible into account.
+func (f *Refusal) add(c Choice, warm time.Duration) {
+	wait := c.Estimate - c.serviceTime
+	if f.Reason != NoBackend && wait >= f.RetryAfter {
+		return
+	}
+	f.Reason, f.RetryAfter = Overloaded, max(wait, c.serviceTime/2)
+	f.Soonest = Estimate{Backend: c.Backend.ID, Load: c.Load, Wait: wait, Warm: warm, RoundTrip: c.roundTrip}
+}
+
 // fit says whether a request may go to a backend server.
 type fit int
 
@@ -190,11 +200,11 @@
 // takes as long as several warm ones, so at high utilization only primaries get cold
 // runs. At still higher utilization requests whose answers would be late are
 // refused, since they would delay others.
-func (c Choice) fit(r Request, t *routeTimes, warm time.Duration, utilization float64) fit {
+func (c Choice) fit(now time.Time, n *backendState, r Request, t *routeTimes, warm time.Duration, utilization float64) fit {
 	wait := c.Estimate - c.serviceTime
 	late := utilization > maxLateUtilization && wait+min(warm, c.serviceTime)+r.Elapsed > r.Route.Objective.Duration()
 	switch {
-	case c.Load >= float64(queueFactor*c.Backend.Slots), wait > r.Left, late:
+	case c.Load >= float64(queueFactor*c.Backend.Slots), n.isReturning(now), wait > r.Left, late:
 		return busy
 	case !c.Warm && !c.primary && (c.queued || utilization > maxSpillUtilization):
 		return busy
