--- a/transport/shfront/statement_test.go
+++ b/transport/shfront/statement_test.go
@@ -17,6 +17,7 @@
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/state/shexplain"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shfront"
 )
 
 // saying returns a behaviour that adds a header field to its answers.
@@ -234,3 +235,28 @@
 func pickRequest(v *shfleet.View) shbalance.Request {
 	return shbalance.Request{Route: v.Table.Route("shop", "/idempotent/x"), Service: "s", Left: time.Second}
 }
+
+// Guards against more retries than the deployment allows while all backend servers of
+// a service decline.
+func TestRetryBudgetHoldsWhenAllDecline(t *testing.T) {
+	const callers = 60
+	var arrived arrivals
+	decline := counting(&arrived, saying("Retry-After", "5", shed))
+	behaviours := make([]behaviour, 100)
+	for i := range behaviours {
+		behaviours[i] = decline
+	}
+	f := newFixture(t, 20, behaviours...)
+	f.handler.Retries = shfront.RetryLimit{Share: 0.2, Slack: 20, Window: 10 * time.Second}
+	var sending sync.WaitGroup
+	for range callers {
+		sending.Go(func() {
+			if status := f.send(t, "GET", idempotent, "").StatusCode; status != http.StatusServiceUnavailable {
+				t.Errorf("status %d", status)
+			}
+		})
+	}
+	sending.Wait()
+	retries := len(arrived.at) - callers
+	assert.Assert(t, retries <= 0.2*callers+20, "%d retries", retries)
+}
