--- a/coordination/shbalance/learned.go
+++ b/coordination/shbalance/learned.go
@@ -70,7 +70,7 @@
 }
 
 // isDisturbed reports whether a result came so long after the deadline of the
-// request that this VM must have stood still: the origin client ends a request at
+// request that this VM must have been paused: the origin client ends a request at
 // its deadline. The time it took then says nothing about the backend server.
 func (c Choice) isDisturbed(now time.Time) bool { return now.Sub(c.at) > c.left+stallMargin }
 
--- a/coordination/shbalance/learned_test.go
+++ b/coordination/shbalance/learned_test.go
@@ -51,9 +51,9 @@
 	return float64(refused) / float64(total)
 }
 
-// Guards against an entry VM that refuses a route for good after it stood still:
+// Guards against an entry VM that refuses a route for good after it was paused:
 // the answers that came in meanwhile seem to have taken that long.
-func TestServesAfterStandingStill(t *testing.T) {
+func TestServesAfterPause(t *testing.T) {
 	for name, sticky := range map[string]bool{"sticky": true, "not sticky": false} {
 		t.Run(name, func(t *testing.T) {
 			b := balancer("e1", "n1", fleet(4))
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -33,7 +33,7 @@
 // suspended: it gets no requests for a while, and then one request at a time until
 // one is answered.
 //
-// What is learned from requests can be wrong, for example if the VM stood still. So
+// What is learned from requests can be wrong, for example if the VM was paused. So
 // a learned response time never keeps all requests of a route from being sent: now
 // and then one is sent to show whether the time is still true.
 //
--- a/transport/shentry/average_test.go
+++ b/transport/shentry/average_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against a service that is refused for long after its requests seemed to
-// take too long, for example because this VM stood still.
+// take too long, for example because this VM was paused.
 func TestServiceTimeStartsAnew(t *testing.T) {
 	var m movingAverage
 	now := time.Unix(1_700_000_000, 0)
