Take the end of a stated time from the last answer in its test

Cause: the test counted the stated 1.5 s from the first answer, but each of the requests that were already on their way got an answer with the full time, and a later statement that ends later replaces the earlier one, as the issue asks. Beside the other tests such an answer can come more than 100 ms after the first. It is the test that was wrong: the end is now the last one that was logged, which must lie within the stated time of the last answer, and the backend server must be served 100 ms after it, as before.

--- a/transport/shfront/statement_test.go
+++ b/transport/shfront/statement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"net/http"
@@ -173,6 +174,8 @@
 		}
 		answer(s, w, r)
 	}))
+	var log lockedBuffer
+	f.handler.Logger = slog.New(slog.NewJSONHandler(&log, nil))
 	var callers sync.WaitGroup
 	for range 200 {
 		callers.Go(func() {
@@ -183,13 +186,17 @@
 		})
 	}
 	callers.Wait()
+	// Several of them may have been on their way. The last answer that was received
+	// counts.
+	until := log.lastUntil(t)
+	assert.Assert(t, !until.Before(declinedAt.Add(stated)) && !until.After(time.Now().Add(stated)), "%v", until)
 	response := f.send(t, "GET", idempotent, "")
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
 	after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	assert.NilError(t, err)
 	left := time.Until(declinedAt.Add(stated)).Seconds()
 	assert.Assert(t, after >= left-0.1, "Retry-After %v, %v of the stated time are left", after, left)
-	for time.Since(declinedAt) < stated {
+	for time.Now().Before(until) {
 		f.send(t, "GET", idempotent, "")
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -198,6 +205,33 @@
 	assert.Equal(t, f.send(t, "GET", idempotent, "").StatusCode, http.StatusOK, "it ends by the clock alone")
 }
 
+// lockedBuffer is a log that several goroutines write.
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+// lastUntil returns the end of the time in the last logged statement.
+func (b *lockedBuffer) lastUntil(t *testing.T) (until time.Time) {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range bytes.Lines(b.Bytes()) {
+		var l struct{ Until time.Time }
+		assert.NilError(t, json.Unmarshal(line, &l))
+		if l.Until.After(until) {
+			until = l.Until
+		}
+	}
+	return until
+}
+
 // Guards against requests that a process sends when it wakes up: they were given a
 // backend server before, which wants none any more.
 func TestStatementWhileConnecting(t *testing.T) {
