Classify a dial that the caller's leaving ended as canceled

Cause: Do returned KindNotSent for a dial that ended with its context, so that shfront took the backend server for unreachable, suspended it and dialed up to three more for a caller that had left. Ruled out: a check in shfront, which would not cover other users of Do. Measured: TestCanceledDial fails without the change ("not-sent") and passes with it.

--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -51,7 +51,10 @@
 	if x == nil {
 		var err error
 		began := time.Now()
-		if x, err = dial(ctx, address, r.Deadline); err != nil {
+		if x, err = dial(ctx, address, r.Deadline); err != nil && ctx.Err() != nil {
+			return Response{}, &Error{Op: "dial", Kind: KindCanceled, Err: context.Cause(ctx)}
+		}
+		if err != nil {
 			return Response{}, err
 		}
 		x.held = &c.held
--- a/transport/shorigin/client_test.go
+++ b/transport/shorigin/client_test.go
@@ -167,6 +167,15 @@
 	assert.Assert(t, time.Since(began) < time.Second)
 }
 
+// Guards against a caller that leaves while a connection is opened and is taken for a
+// backend server that can't be reached.
+func TestCanceledDial(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := (&shorigin.Client{}).Do(ctx, newStub(t, good).address(), request("1", time.Second))
+	assert.Equal(t, shorigin.KindOf(err), shorigin.KindCanceled)
+}
+
 // Guards against using a stale connection for a request that must not run twice.
 func TestOnceUsesFreshConnections(t *testing.T) {
 	s := newStub(t, good)
