Send slow idempotent requests to a second backend server within a limit

With repeatShare set, a request whose answer is later than nine in ten is sent to a second backend server if that is likely sooner than the rest of the first's time; the first valid answer is delivered and the other send is canceled. Off by default; then no goroutine, no timer and no learning. Ruled out: a fixed delay, times for each route only, a quantile from the limit; see docs/design/hedge.md.

--- a/coordination/shbalance/backend_state.go
+++ b/coordination/shbalance/backend_state.go
@@ -188,6 +188,7 @@
 		}
 		b.observeRoundTrip(n, now.Sub(c.at), o)
 		if !o.Failed {
+			b.recordShape(now, c, now.Sub(c.at)-o.Connect-o.Transfer, true)
 			b.observeResponse(now, n, c, o)
 		}
 	case Shed:
@@ -200,6 +201,7 @@
 		if disturbed {
 			return
 		}
+		b.recordShape(now, c, now.Sub(c.at), false)
 		n.observeFailure(true)
 		n.observeSlowdown(now.Sub(c.at)-c.roundTrip, c.Estimate-c.roundTrip)
 	case Unreachable:
@@ -207,6 +209,10 @@
 		b.zone(n.backend.Zone).observeUnreachable(now, n)
 	case Replaced:
 		n.suspend(now, replacedSuspension)
+	case Outrun:
+		if !disturbed {
+			b.observeOutrun(now, n, c)
+		}
 	case Canceled:
 	}
 }
--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -9,12 +9,17 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shlimit"
 	"sequoiahollow/state/shmodel"
 )
 
 // Balancer chooses backend servers for the requests at one entry VM. Create it
 // with New.
 type Balancer struct {
+	// HedgeShare is the share of the requests of a service that may be sent a second
+	// time, see Hedge. With zero none are. Set it before use.
+	HedgeShare float64
+
 	place  Place
 	vmHash uint64 // hash of the entry VM's name
 
@@ -30,6 +35,9 @@
 	keys       map[keySpace]map[string]*key
 	// absent holds the statements of instances that are not in the view.
 	absent map[shfleet.Instance]statement
+	// shapes and hedgeLimits are used for second sends only.
+	shapes      map[shapeKey]*shape
+	hedgeLimits map[shmodel.Service]*shlimit.ShareBudget
 }
 
 // New returns a balancer for the entry VM at place.
@@ -110,6 +118,7 @@
 	defer b.mu.Unlock()
 	times := b.times(r.Route)
 	key := b.key(r)
+	b.countRequest(now, r)
 	best, backup, refusal := b.compare(now, r, times, key)
 	if best == nil {
 		return Choice{}, refusal
@@ -245,6 +254,7 @@
 func (b *Balancer) estimate(now time.Time, n *backendState, t *routeTimes, r Request, k *key, p preferredBackends) (Choice, time.Duration) {
 	n.fade(now)
 	c := Choice{Backend: n.backend, Load: n.load(now), route: r.Route.Name, key: k.name, at: now, left: r.Left}
+	c.hedgeable = b.HedgeShare > 0 && r.Route.Kind == shmodel.Idempotent && !r.Route.Download
 	c.serviceTime = b.serviceTime(n, t, r, &c, p)
 	warm := t.warm.orDefault(time.Duration(warmFraction * float64(c.serviceTime-c.roundTrip)))
 	wait := n.wait(c.Load, warm)
@@ -296,7 +306,7 @@
 }
 
 // serviceTime returns the expected response time without queueing. It sets Warm,
-// primary and roundTrip of the choice.
+// primary, unslowed and roundTrip of the choice.
 func (b *Balancer) serviceTime(n *backendState, t *routeTimes, r Request, c *Choice, p preferredBackends) time.Duration {
 	cold := t.unseen.orDefault(time.Duration(r.Route.Objective) * time.Millisecond * 3 / 2)
 	warm := t.warm.orDefault(time.Duration(warmFraction * float64(cold)))
@@ -313,6 +323,7 @@
 	case p.backup == n:
 		expected = time.Duration(backupFraction * float64(cold))
 	}
+	c.unslowed = expected
 	if trip := b.roundTrips[n.backend.Zone]; trip != nil {
 		c.roundTrip = trip.mean
 	}
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -46,6 +46,9 @@
 // of the coldSenders entry VMs that rendezvous hashing names may send an equal
 // part of its rate; the others send nothing.
 //
+// A request may be sent to a second backend server if its answer is later than most and
+// another one is likely sooner; see Hedge. HedgeShare bounds how many are.
+//
 // # Use
 //
 // Update gives the balancer the current view. Pick chooses a backend server and
@@ -236,6 +239,8 @@
 	left        time.Duration // until the deadline
 	serviceTime time.Duration
 	roundTrip   time.Duration // part of serviceTime
+	unslowed    time.Duration // serviceTime of an average backend server, without roundTrip
+	hedgeable   bool          // may be sent a second time
 	primary     bool
 	queued      bool
 	loss        float64
@@ -280,6 +285,10 @@
 // Canceled says that the caller gave up.
 type Canceled struct{}
 
+// Outrun says that the request was canceled because another backend server, to which it
+// was sent as well, answered first.
+type Outrun struct{}
+
 func (Answered) observation()    {}
 func (Shed) observation()        {}
 func (Declined) observation()    {}
@@ -288,6 +297,7 @@
 func (Unreachable) observation() {}
 func (Replaced) observation()    {}
 func (Canceled) observation()    {}
+func (Outrun) observation()      {}
 
 // Load is a load report, in requests. Slots may be zero if unknown.
 type Load struct {
--- a/coordination/shlimit/budget.go
+++ b/coordination/shlimit/budget.go
@@ -35,15 +35,21 @@
 }
 
 // Spend reports whether an extra attempt is permitted now, and counts it.
-func (b *ShareBudget) Spend(now time.Time) bool {
+func (b *ShareBudget) Spend(now time.Time) bool { return b.SpendAbove(now, 0) }
+
+// SpendAbove is like Spend, but leaves keep attempts for other uses.
+func (b *ShareBudget) SpendAbove(now time.Time, keep float64) bool {
 	b.refill(now)
-	if b.balance < 1 {
+	if b.balance < 1+keep {
 		return false
 	}
 	b.balance--
 	return true
 }
 
+// Return gives back an attempt that was not made.
+func (b *ShareBudget) Return() { b.balance = min(b.maxBalance(), b.balance+1) }
+
 func (b *ShareBudget) refill(now time.Time) {
 	elapsed := now.Sub(b.refilledAt)
 	if elapsed <= 0 {
--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -45,8 +45,16 @@
 	RetryShare         float64 `json:"retryShare"`
 	RetrySlack         float64 `json:"retrySlack"`
 	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
+	// RepeatShare is the share of the requests of a service that may be sent to a
+	// second backend server because their answers are later than most, up to
+	// MaxRepeatShare. With zero, the default, none are. Second sends count as retries too.
+	RepeatShare float64 `json:"repeatShare"`
 }
 
+// MaxRepeatShare is the largest RepeatShare: the share of retries that the example
+// deployments allow.
+const MaxRepeatShare = 0.2
+
 // LoadFleet reads and checks a file of fleet settings. The error is an *Error;
 // for kind Invalid it lists every mistake.
 func LoadFleet(file string) (Fleet, error) {
@@ -108,6 +116,15 @@
 			report(name, "%v is not positive", value)
 		}
 	}
+	f.validateRepeats(report)
+	if f.TolerateLosses < 0 {
+		report("tolerateLosses", "is negative")
+	}
+	return problems
+}
+
+// validateRepeats checks the limits of retries and second sends.
+func (f Fleet) validateRepeats(report func(field, format string, args ...any)) {
 	for name, value := range map[string]float64{
 		"retryShare": f.RetryShare, "retrySlack": f.RetrySlack, "retryWindowSeconds": f.RetryWindowSeconds,
 	} {
@@ -115,10 +132,9 @@
 			report(name, "%v is negative", value)
 		}
 	}
-	if f.TolerateLosses < 0 {
-		report("tolerateLosses", "is negative")
+	if f.RepeatShare < 0 || f.RepeatShare > MaxRepeatShare {
+		report("repeatShare", "%v is not between 0 and %v", f.RepeatShare, MaxRepeatShare)
 	}
-	return problems
 }
 
 // PeerAddress returns the address at which this process takes calls of other
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -47,6 +47,10 @@
 	// lastFailure is the latest complete answer that reports a failure of the
 	// backend server. The caller gets it if no other attempt succeeds.
 	lastFailure *shorigin.Response
+	// hedged says that the request was sent to a second backend server before the
+	// first one answered. beforeDelivery, unless nil, ends the other send.
+	hedged         bool
+	beforeDelivery func()
 }
 
 // serve reads the request, matches it to a route and answers the caller.
@@ -160,19 +164,37 @@
 
 // attempt sends the request to one backend server.
 func (x *exchange) attempt(c shbalance.Choice) attemptResult {
-	h := x.handler
+	x.addAttempt(c)
+	if delay := x.hedgeDelay(c); delay > 0 {
+		return x.attemptHedged(c, delay)
+	}
+	response, err := x.handler.Origin.Do(x.request.Context(), c.Backend.Address, x.originRequest(c))
+	return x.handleResult(c, response, err)
+}
+
+// addAttempt records that the request is sent to a backend server.
+func (x *exchange) addAttempt(c shbalance.Choice) {
 	x.tried = append(x.tried, c.Backend.ID)
 	x.attempts = append(x.attempts, attempt{at: time.Now(), backend: c.Backend})
+}
+
+// originRequest returns what is sent to a backend server.
+func (x *exchange) originRequest(c shbalance.Choice) shorigin.Request {
+	h := x.handler
 	header := endToEndHeaders(x.request.Header)
 	header.Del(h.Dialect.Timeout)
 	header.Set(h.Dialect.Instance, string(c.Backend.ID))
-	response, err := h.Origin.Do(x.request.Context(), c.Backend.Address, shorigin.Request{
+	return shorigin.Request{
 		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: header,
 		Body: x.body, Chunked: x.request.ContentLength < 0,
 		EchoHeader: h.Dialect.RequestID, TimeoutHeader: h.Dialect.Timeout,
 		MaySend:  func() bool { return h.Balancer.MaySend(time.Now(), c) },
 		Deadline: x.deadline, Once: x.route.Kind == shmodel.OnceOnly, StreamFrom: x.streamFrom(),
-	})
+	}
+}
+
+// handleResult handles the result of an attempt.
+func (x *exchange) handleResult(c shbalance.Choice, response shorigin.Response, err error) attemptResult {
 	declined := x.observeStatements(c, response)
 	if err != nil {
 		return x.handleFailure(c, err)
@@ -301,6 +323,9 @@
 // deliver sends the answer of a backend server to the caller and ends the
 // request.
 func (x *exchange) deliver(c shbalance.Choice, r shorigin.Response, load *shbalance.Load) {
+	if x.beforeDelivery != nil {
+		x.beforeDelivery()
+	}
 	x.writeAnswer(r)
 	x.answerBytes = len(r.Body)
 	x.finishDelivered(c, r, load)
--- a/transport/shfront/report.go
+++ b/transport/shfront/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"sequoiahollow/coordination/shbalance"
@@ -13,7 +14,7 @@
 func (x *exchange) logAttempt(c shbalance.Choice, result string, err error) {
 	attrs := []any{
 		"request", x.id, "route", x.route.Name, "service", x.service, "backend", c.Backend.ID,
-		"address", c.Backend.Address, "zone", c.Backend.Zone, "attempt", len(x.tried), "result", result,
+		"address", c.Backend.Address, "zone", c.Backend.Zone, "attempt", slices.Index(x.tried, c.Backend.ID) + 1, "result", result,
 		"load", c.Load, "warm", c.Warm, "estimateMs", c.Estimate.Milliseconds(),
 		"elapsedMs", time.Since(x.received).Milliseconds(), "index", x.view.Index,
 	}
--- a/transport/shfront/shfront.go
+++ b/transport/shfront/shfront.go
@@ -19,6 +19,10 @@
 // and Retry-After, for how long it wants no requests. The balancer then chooses others,
 // also for requests that have been given this one but are not yet sent.
 //
+// With Balancer.HedgeShare set, an idempotent request whose answer is later than most may
+// be sent to a second backend server while the first still works. The first valid answer
+// is delivered, and the other send is canceled. Such a second send counts as a retry.
+//
 // Retries are limited by the number of attempts and the timeout of the route,
 // the caller's timeout, and a retry budget per service. The caller is told that
 // the request has not run only if no attempt may have run. When the caller closes
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -55,6 +55,7 @@
 	e.seeds.Store(&seeds)
 	place := shbalance.Place{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
 	e.balancer = shbalance.New(place)
+	e.balancer.HedgeShare = s.RepeatShare
 	e.watcher = &shwatch.Watcher{
 		VM: s.VM, Client: e.client, Seeds: func() []string { return *e.seeds.Load() },
 		Entry: e.announcement, Logger: log,
