Keep second sends away from backend servers that are late themselves

Cause: when all backend servers become slow at once, the learned times don't show it yet, and second sends only add load. A backend server with a late answer of its own now gets none for a second, unless it answers another request in the usual time. Ruled out: quantiles 0.8 and 0.95, utilization 0.75, a second that must be sooner than 0.7 of the rest; each was better in one pattern and worse in another (trials with TestHedgePatterns).

--- a/coordination/shbalance/backend_state.go
+++ b/coordination/shbalance/backend_state.go
@@ -33,6 +33,9 @@
 	failures    float64
 	logSlowdown float64
 	learnedAt   time.Time
+	// lateAt is when an answer was last found to be late, zero after one in the usual
+	// time. It is only used for second sends.
+	lateAt time.Time
 
 	suspendedUntil time.Time
 	suspension     time.Duration
--- a/coordination/shbalance/hedge.go
+++ b/coordination/shbalance/hedge.go
@@ -27,6 +27,9 @@
 	// a second time. It is below maxSpillUtilization, since the slots that second sends
 	// take are needed when load rises.
 	maxHedgeUtilization = 0.6
+	// maxLatePeriod is how long a backend server with a late answer gets no second sends,
+	// unless it answers another request in the usual time.
+	maxLatePeriod = time.Second
 	// maxHedgeStock bounds the second sends that a service may have in stock.
 	maxHedgeStock = 5
 	// minHedgeDelay is the shortest time until a second send. Timers and the scheduler
@@ -144,9 +147,14 @@
 		return
 	}
 	ratio := float64(took-c.roundTrip) / float64(c.expected())
-	if h := b.shapeFor(now, c); !answered && (h == nil || 100*ratio < float64(h.ValueAtQuantile(100*hedgeQuantile))) {
+	h := b.shapeFor(now, c)
+	late := h != nil && 100*ratio >= float64(h.ValueAtQuantile(100*hedgeQuantile))
+	if !answered && !late {
 		return
 	}
+	if n := b.backends[c.Backend.ID]; answered && !late && n != nil {
+		n.lateAt = time.Time{}
+	}
 	for _, route := range []string{c.route, ""} {
 		key := shapeKey{c.Backend.Service, route, c.warmth()}
 		s := b.shapes[key]
@@ -228,6 +236,7 @@
 	backends := b.candidates(now, r)
 	all := backends
 	if n := b.backends[first.Backend.ID]; n != nil {
+		n.lateAt = now
 		all = append(all[:len(all):len(all)], n)
 	}
 	d := Hedge{Rest: b.restOf(now, first), Utilization: utilizationOf(now, all)}
@@ -236,7 +245,8 @@
 		return d
 	}
 	t, k := b.times(r.Route), b.key(r)
-	found := false
+	tie := mix(k.hash, b.vmHash)
+	var best *backendState
 	for _, n := range backends {
 		// Without preferred backend servers only those that answered for the key here
 		// count as warm.
@@ -245,17 +255,17 @@
 		if !b.mayHedge(now, n, c) || c.Estimate >= min(d.Rest, r.Left) {
 			continue
 		}
-		if !found || c.isBetterSecond(d.Choice, first) {
-			d.Choice, found = c, true
+		if best == nil || c.isBetterSecond(d.Choice, first) || !d.Choice.isBetterSecond(c, first) && ranksBefore(tie, n, best) {
+			d.Choice, best = c, n
 		}
 	}
 	switch {
-	case !found:
+	case best == nil:
 		d.Refused = HedgeNobodySooner
 	case !b.hedgeLimit(r.Service).Spend(now):
 		d.Refused, d.Choice = HedgeLimit, Choice{}
 	default:
-		b.backends[d.Choice.Backend.ID].startRequest(now, k.name, math.Inf(1))
+		best.startRequest(now, k.name, math.Inf(1))
 	}
 	return d
 }
@@ -274,6 +284,9 @@
 	switch {
 	case n.isCold(now), n.isUntried(now), n.isReturning(now):
 		return false
+	case now.Sub(n.lateAt) < maxLatePeriod:
+		// If all backend servers became slow at once, the learned times don't know yet.
+		return false
 	case n.suspension > 0, b.zone(n.backend.Zone).suspension > 0:
 		// The first request after a suspension shows whether it is back.
 		return false
