Serve pipelined idempotent requests of a connection at the same time

net/http reads the next request of a connection after the answer to the one before it, so callers that pipeline waited for all requests ahead. shpipeline splits such a connection in front of the server and keeps the order of the answers. Once-only requests and those with a body still wait.

--- a/transport/shfront/handler.go
+++ b/transport/shfront/handler.go
@@ -17,6 +17,7 @@
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shlimit"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/internal/shpipeline"
 	"sequoiahollow/transport/shorigin"
 )
 
@@ -63,12 +64,24 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{handler: h, writer: w, request: r, received: time.Now(), id: r.Header.Get(h.Dialect.RequestID)}
-	if h.Closing() {
+	if h.Closing() && shpipeline.MayClose(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	x.serve()
 }
 
+// MayOverlap reports whether a request without a body may be served beside others of
+// its connection: only if it may run twice, since its answer is lost if one ahead of it
+// closes the connection.
+func (h *Handler) MayOverlap(r *http.Request) bool {
+	table := h.View().Table
+	if table == nil || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		return false
+	}
+	route := table.Route(hostOf(r), pathOf(r.RequestURI))
+	return route != nil && route.Kind == shmodel.Idempotent
+}
+
 // hopHeaders are the hop-by-hop headers, which are not forwarded.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -91,12 +91,14 @@
 	return errors.Join(failure, e.account.close(), e.close())
 }
 
-func (e *Entry) serve(handler http.Handler, options EntryOptions) error {
+func (e *Entry) serve(handler *shfront.Handler, options EntryOptions) error {
+	if _, err := e.listenOverlapping(e.Settings.EntryAddress, handler, handler.MayOverlap); err != nil {
+		return err
+	}
 	for _, x := range []struct {
 		address string
 		handler http.Handler
 	}{
-		{e.Settings.EntryAddress, handler},
 		{e.Settings.ReadinessAddress, options.Readiness(e)},
 		{e.Settings.DirectoryAddress, options.Directory(e)},
 	} {
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -28,6 +28,7 @@
 
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/internal/shlistener"
+	"sequoiahollow/transport/internal/shpipeline"
 	"sequoiahollow/transport/shpeer"
 )
 
@@ -82,6 +83,21 @@
 type listener struct {
 	*http.Server
 	accepts *shlistener.Listener
+	// pipeline is nil on listeners that do not serve pipelined requests at the same
+	// time.
+	pipeline *shpipeline.Listener
+}
+
+// shutdown closes the listener and waits for the requests in progress and until the
+// clients have their answers.
+func (l listener) shutdown(ctx context.Context) error {
+	if l.pipeline != nil {
+		l.pipeline.Drain()
+		if err := l.pipeline.Wait(ctx); err != nil {
+			return err
+		}
+	}
+	return l.accepts.Shutdown(ctx, l.Server)
 }
 
 func newProcess(s shsettings.Fleet, log *slog.Logger) *process {
@@ -108,6 +124,12 @@
 
 // listen serves HTTP at an address. It does nothing if the address is empty.
 func (p *process) listen(address string, handler http.Handler) (*http.Server, error) {
+	return p.listenOverlapping(address, handler, nil)
+}
+
+// listenOverlapping is listen. The requests for which mayOverlap returns true are
+// served beside others of their connection; with nil none are.
+func (p *process) listenOverlapping(address string, handler http.Handler, mayOverlap func(*http.Request) bool) (*http.Server, error) {
 	if address == "" {
 		return nil, nil
 	}
@@ -120,8 +142,16 @@
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
 	}
-	p.http = append(p.http, listener{s, accepts})
-	go p.serveListener(func() error { return s.Serve(accepts) })
+	x := listener{Server: s, accepts: accepts}
+	var served net.Listener = accepts
+	if mayOverlap != nil {
+		x.pipeline = &shpipeline.Listener{
+			Listener: accepts, MayOverlap: mayOverlap, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeadBytes: maxHeaderBytes,
+		}
+		s.ConnState, s.ConnContext, served = x.pipeline.ConnState, x.pipeline.ConnContext, x.pipeline
+	}
+	p.http = append(p.http, x)
+	go p.serveListener(func() error { return s.Serve(served) })
 	return s, nil
 }
 
@@ -162,7 +192,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	for _, s := range p.http {
-		if err := s.accepts.Shutdown(ctx, s.Server); err != nil {
+		if err := s.shutdown(ctx); err != nil {
 			p.Log.Warn("requests still in progress at the end of the stop", "error", err)
 		}
 	}
