Share the home regions of keys between entry VMs

Callers that moved to entry VMs of another region found their keys cold: hashing named the backend servers of a key in the region of the entry VM. The leader now keeps which region reported a key first, and all entry VMs choose as one of that region does.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shhome"
 	"sequoiahollow/state/shmodel"
 )
 
@@ -28,6 +29,10 @@
 	roundTrips map[shmodel.FailureDomain]*movingAverage
 	zones      map[shmodel.FailureDomain]*zoneState
 	keys       map[keySpace]map[string]*key
+	// homes are the known regions of keys.
+	homes map[shhome.Key]shmodel.Region
+	// sightings are keys that Sightings returns next.
+	sightings []shhome.Home
 	// absent holds the statements of instances that are not in the view.
 	absent map[shfleet.Instance]statement
 }
@@ -44,9 +49,13 @@
 		zones:      map[shmodel.FailureDomain]*zoneState{},
 		keys:       map[keySpace]map[string]*key{},
 		absent:     map[shfleet.Instance]statement{},
+		homes:      map[shhome.Key]shmodel.Region{},
 	}
 }
 
+// Place returns where the entry VM runs.
+func (b *Balancer) Place() Place { return b.place }
+
 // Update replaces the view of the fleet. What the balancer has learned of an
 // instance of a backend server is kept while that instance is in the view.
 func (b *Balancer) Update(now time.Time, v shfleet.View) {
@@ -110,6 +119,7 @@
 	defer b.mu.Unlock()
 	times := b.times(r.Route)
 	key := b.key(r)
+	b.sight(now, r, key)
 	best, backup, refusal := b.compare(now, r, times, key)
 	if best == nil {
 		return Choice{}, refusal
@@ -130,7 +140,7 @@
 // why.
 func (b *Balancer) compare(now time.Time, r Request, t *routeTimes, k *key) (best, backup *Choice, refusal *Refusal) {
 	backends := b.candidates(now, r)
-	p := b.preferred(backends, k.hash)
+	p := b.preferred(backends, k)
 	tie := mix(k.hash, b.vmHash) // spreads entry VMs over choices of equal loss
 	utilization := utilizationOf(now, backends)
 	refusal = &Refusal{Reason: NoBackend, RetryAfter: firstSuspension, Candidates: len(backends), Utilization: utilization}
--- /dev/null
+++ b/coordination/shbalance/home_test.go
@@ -0,0 +1,62 @@
+package shbalance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/coordination/shbalance"
+	"sequoiahollow/coordination/shhome"
+)
+
+// shareHomes passes the sightings of balancers through one table.
+func shareHomes(t *shhome.Table, now time.Time, balancers ...*shbalance.Balancer) {
+	for _, b := range balancers {
+		t.Report(now, b.Place().Region, b.Sightings())
+	}
+	homes, _ := t.Since(0)
+	for _, b := range balancers {
+		b.SetHomes(homes, false)
+	}
+}
+
+// Load: callers move to an entry VM of another region. Guards against requests for
+// their keys that run cold there, although the backend servers that the first entry VM
+// chose are warm.
+func TestMovedCallersFindWarmBackends(t *testing.T) {
+	v := fleet(4)
+	north, south := balancer("e1", "n1", v), balancer("e3", "s1", v)
+	var table shhome.Table
+	const keys = 200
+	chosen := make([]shbalance.Choice, keys)
+	for i := range keys {
+		chosen[i] = pick(t, north, start, request(fmt.Sprint(i)))
+		north.Done(start.Add(100*time.Millisecond), chosen[i], shbalance.Answered{})
+	}
+	shareHomes(&table, start, north, south)
+	moved := start.Add(time.Second)
+	for i := range keys {
+		c := pick(t, south, moved, request(fmt.Sprint(i)))
+		assert.Equal(t, c.Backend.ID, chosen[i].Backend.ID, "key %d", i)
+		south.Done(moved.Add(100*time.Millisecond), c, shbalance.Answered{})
+	}
+}
+
+// Guards against keys that are reported with each request, or never again, so that the
+// table loses them.
+func TestSightings(t *testing.T) {
+	b := balancer("e1", "n1", fleet(4))
+	request := request("17")
+	see := func(now time.Time) int {
+		c := pick(t, b, now, request)
+		b.Done(now, c, shbalance.Canceled{})
+		return len(b.Sightings())
+	}
+	assert.Equal(t, see(start), 1)
+	assert.Equal(t, see(start.Add(time.Second)), 0)
+	assert.Equal(t, see(start.Add(shhome.RefreshInterval)), 1)
+	b.SetHomes(nil, true)
+	assert.Equal(t, see(start.Add(shhome.RefreshInterval+time.Second)), 1)
+}
--- a/coordination/shbalance/key.go
+++ b/coordination/shbalance/key.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sequoiahollow/coordination/shhome"
 	"sequoiahollow/state/shmodel"
 )
 
@@ -20,6 +21,10 @@
 type key struct {
 	name string
 	hash uint64
+	// home is the region that has the primaries of the key, if that is known.
+	home shmodel.Region
+	// reportedAt is the time at which Sightings last returned the key.
+	reportedAt time.Time
 	// extraLoss is what requests have lost, beyond the least loss possible, since
 	// the backup was last warmed, or since the first request.
 	extraLoss float64
@@ -63,6 +68,7 @@
 	if k == nil {
 		k = &key{name: r.Route.Name + " " + r.Key}
 		k.hash = xxhash.Sum64String(k.name)
+		k.home = b.homes[shhome.Key{Route: r.Route.Name, Name: r.Key}]
 		set[r.Key] = k
 	}
 	return k
@@ -79,10 +85,14 @@
 
 // preferred returns the primaries and the backup of a key among the backend
 // servers that may be used.
-func (b *Balancer) preferred(backends []*backendState, hash uint64) preferredBackends {
-	region := b.keyRegion(backends, hash)
+func (b *Balancer) preferred(backends []*backendState, k *key) preferredBackends {
+	hash, home := k.hash, b.place.Region
+	if k.home != "" {
+		home = k.home
+	}
+	region := keyRegion(backends, hash, home)
 	copies := 1
-	if region == b.place.Region && len(b.entries) >= largeFleetEntries {
+	if region == home && len(b.entries) >= largeFleetEntries {
 		copies = largeFleetPrimaries
 	}
 	var p preferredBackends
@@ -101,12 +111,11 @@
 	return p
 }
 
-// keyRegion returns the region in which a key has its primaries and its backup:
-// the region of this entry VM, if that has at least an equal share of the slots.
-// Otherwise that region keeps only a part of its keys (half of them if it has half
-// of an equal share), and the others go to the regions that have more than an equal
-// share.
-func (b *Balancer) keyRegion(backends []*backendState, hash uint64) shmodel.Region {
+// keyRegion returns the region in which a key has its primaries and its backup: its
+// home, if that has at least an equal share of the slots. Otherwise that region keeps
+// only a part of its keys (half of them if it has half of an equal share), and the
+// others go to the regions that have more than an equal share.
+func keyRegion(backends []*backendState, hash uint64, home shmodel.Region) shmodel.Region {
 	slots := map[shmodel.Region]float64{}
 	total := 0.0
 	for _, n := range backends {
@@ -114,13 +123,13 @@
 		total += float64(n.backend.Slots)
 	}
 	fair := total / float64(max(len(slots), 1))
-	if own := slots[b.place.Region]; own > 0 && unitInterval(mix(hash, keyRegionSalt))*fair <= own {
-		return b.place.Region
+	if own := slots[home]; own > 0 && unitInterval(mix(hash, keyRegionSalt))*fair <= own {
+		return home
 	}
 	var chosen shmodel.Region
 	best := math.Inf(-1)
 	for region, n := range slots {
-		if region == b.place.Region {
+		if region == home {
 			continue
 		}
 		spare := max(n-fair, minSpareShare*fair)
--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -39,6 +39,9 @@
 	// CacheSeconds is how long callers may use an answer of the directory.
 	CacheSeconds float64 `json:"cacheSeconds"`
 	MemoryMB     int     `json:"memoryMb"`
+	// ShareKeyHomes says that entry VMs tell each other in which region a key has its
+	// backend servers.
+	ShareKeyHomes bool `json:"shareKeyHomes"`
 	// RetryShare, RetrySlack and RetryWindowSeconds bound the retries that all
 	// entry VMs together make for a service: in any window, RetryShare of its
 	// requests plus RetrySlack. A window of zero selects the defaults of shfront.
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -9,6 +9,7 @@
 
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shhome"
 	"sequoiahollow/coordination/shraft"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
@@ -51,6 +52,7 @@
 	sequences   map[shmodel.BackendServer]sequence
 	// reportedCrashes is kept in the memory of the leader only.
 	reportedCrashes map[reportedCrash]bool
+	homes           shhome.Table
 
 	packer changePacker
 }
@@ -170,6 +172,7 @@
 		r.leaderSince = time.Now()
 		clear(r.lastHeartbeat)
 		clear(r.lastWatch)
+		r.homes = shhome.Table{}
 	}
 }
 
@@ -403,6 +406,7 @@
 		return ranges, err
 	})
 	shpeer.Handle(r.config.Server, MethodWatch, r.watch)
+	shpeer.Handle(r.config.Server, MethodHomes, r.shareHomes)
 }
 
 // reserve handles MethodReserve: it reserves a range of account record numbers.
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -93,6 +93,8 @@
 	MethodReserve = "fleet.reserve"
 	// MethodWatch takes a WatchRequest and returns a WatchResponse.
 	MethodWatch = "fleet.watch"
+	// MethodHomes takes a HomesRequest and returns a HomesResponse.
+	MethodHomes = "fleet.homes"
 )
 
 // Config configures a Registry.
--- a/transport/shwatch/shwatch.go
+++ b/transport/shwatch/shwatch.go
@@ -109,6 +109,11 @@
 	return shleader.Call[shrecord.Range](ctx, &w.finder, w.Client, w.addresses, shregistry.MethodReserve, c)
 }
 
+// ShareHomes reports keys to the table of their homes and returns what is new there.
+func (w *Watcher) ShareHomes(ctx context.Context, q shregistry.HomesRequest) (shregistry.HomesResponse, error) {
+	return shleader.Call[shregistry.HomesResponse](ctx, &w.finder, w.Client, w.addresses, shregistry.MethodHomes, q)
+}
+
 // ControlAddresses returns the peer addresses of the control VMs in the last
 // answer of the leader.
 func (w *Watcher) ControlAddresses() []string {
