Declare the hold that bounds the memory of request bodies

The body of a request is held whole, up to the limit of the configuration (64 MiB in the deployments), with no bound on all bodies together. The interface lets an entry VM bound them; nothing calls it yet.

--- a/transport/shfront/handler.go
+++ b/transport/shfront/handler.go
@@ -42,6 +42,9 @@
 	Account Account
 	// Retries bounds the attempts after the first one.
 	Retries RetryLimit
+	// Hold is called for a request with a body, before any of it is read. It returns the
+	// hold that bounds the memory of the body. With nil there is no bound.
+	Hold func(*http.Request) BodyHold
 	// Place is where the VM runs; it goes into the account records.
 	Place   shbalance.Place
 	Metrics *metrics.Set
