Take a status outside 200 to 599 for no answer

A backend server in trouble may send "HTTP/1.1 000": net/http reads any three digits as a status. Such bytes, and a 101 that nobody asked for, are now a garbled answer: the attempt may have run, its connection is closed, and no crash is counted. An idempotent request may go to another backend server, a once-only one ends with an unknown outcome.

What the tests showed before, with statuses 000, 099, 101, 600 and 999:

- shorigin: below 200 it waited for another answer until the deadline; 600 and 999 were returned as answers.
Callers got 504, 600 and 999 (shfront).
- shentry: Dispatcher.Send returned each as an answer without a fault.
An owner that forwarded 000 to another entry VM sent it as 200; copyAnswer panicked on 000, and would have written 600 and 999.
- shcaller: Client.Do returned each as an answer.
- the request command: exit code 0 for 000, 099 and 101, 1 for 600 and 999.

Not at fault, with tests: lookups (shcaller) and the operators' client take nothing but 200. shpeer is not HTTP and has no status. The announcer of shbackend takes nothing but 200, by its code.

An abort while the body is unread no longer waits for the caller: net/http looks for the end of the body before it closes the connection. TestNoMemoryForBody waited 8 s, its own deadline.

--- a/cmd/sequoiahollow/request.go
+++ b/cmd/sequoiahollow/request.go
@@ -202,6 +202,9 @@
 	default:
 		report.Outcome, report.Reason = shmodel.Unknown, "the answer has no outcome"
 	}
+	if !shmodel.IsFinalStatus(report.Status) {
+		report.Outcome, report.Reason = shmodel.Unknown, "the status is no answer"
+	}
 	var p shwire.Problem
 	if response.Header.Get("Content-Type") == shwire.ContentTypeProblem && json.Unmarshal(body, &p) == nil {
 		report.Reason = p.Reason
--- a/cmd/sequoiahollow/request_test.go
+++ b/cmd/sequoiahollow/request_test.go
@@ -69,6 +69,23 @@
 	}
 }
 
+// TestRequestStatuses guards against a status that is none and passes for an answer.
+func TestRequestStatuses(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			address := entryVM(t, func(w http.ResponseWriter, _ *http.Request) {
+				c, buffer, err := http.NewResponseController(w).Hijack()
+				assert.Check(t, err)
+				defer c.Close()
+				fmt.Fprintf(buffer, "HTTP/1.1 %s x\r\n%s: answered\r\nContent-Length: 0\r\n\r\n", status, shwire.HeaderOutcome)
+				assert.Check(t, buffer.Flush())
+			})
+			code, _, stderr := execute(t, "request", "--entry", address, "--service", "s")
+			assert.Equal(t, code, exitUnknown, stderr)
+		})
+	}
+}
+
 // TestRequestConnectionBreaks guards against a second execution: after the
 // connection closes without an answer, the request must not go to another entry
 // VM.
--- a/coordination/shrequest/types.go
+++ b/coordination/shrequest/types.go
@@ -166,7 +166,7 @@
 // FirstByteTimeout says that no byte of an answer arrived in time.
 type FirstByteTimeout struct{}
 
-// IDMismatch says that an answer to another request arrived.
+// IDMismatch says that an answer to another request arrived, or bytes that are none.
 type IDMismatch struct{}
 
 // NotSent says that the driver did not send the request: shslot.Table.Dispatch
--- a/transport/shcaller/caller.go
+++ b/transport/shcaller/caller.go
@@ -262,6 +262,10 @@
 		return Answer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !shmodel.IsFinalStatus(response.StatusCode) {
+		c.http.CloseIdleConnections()
+		return Answer{}, fmt.Errorf("status %q is no answer", response.Status)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, fmt.Errorf("answer broke off after %d bytes: %w", len(body), err)
--- a/transport/shcaller/caller_test.go
+++ b/transport/shcaller/caller_test.go
@@ -98,6 +98,48 @@
 	assert.Equal(t, e.requests.Load(), int32(1))
 }
 
+// Guards against a status that is none as an answer, and against a request that is sent
+// again after it although it may have run.
+func TestStatuses(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		for method, requests := range map[string]int32{http.MethodPost: 1, http.MethodGet: 2} {
+			t.Run(status+" "+method, func(t *testing.T) {
+				var sent atomic.Int32
+				bad := func(w http.ResponseWriter, _ *http.Request) {
+					sent.Add(1)
+					c, buffer, _ := http.NewResponseController(w).Hijack()
+					defer c.Close()
+					_, _ = buffer.WriteString("HTTP/1.1 " + status + " x\r\n" + shwire.HeaderOutcome + ": answered\r\nContent-Length: 0\r\n\r\n")
+					_ = buffer.Flush()
+				}
+				other := startEntry(t, 0, nil, bad)
+				e := startEntry(t, 0, []string{other.address}, bad)
+				client := Client{Seeds: []string{e.address}}
+				_, err := client.Do(t.Context(), Request{Service: "s", Method: method, URI: "/x"})
+				assert.ErrorContains(t, err, "status")
+				assert.Equal(t, sent.Load(), requests)
+			})
+		}
+	}
+}
+
+// Guards against a lookup that is answered with a status that is none. Only 200 is
+// accepted there.
+func TestLookupStatuses(t *testing.T) {
+	for _, status := range []string{"000", "101", "600"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, buffer, _ := http.NewResponseController(w).Hijack()
+			defer c.Close()
+			_, _ = buffer.WriteString("HTTP/1.1 " + status + " x\r\n\r\n{\"entries\":[{\"address\":\"a\"}]}")
+			_ = buffer.Flush()
+		}))
+		t.Cleanup(s.Close)
+		client := Client{Seeds: []string{strings.TrimPrefix(s.URL, "http://")}}
+		_, err := client.Lookup(t.Context(), "s")
+		assert.ErrorContains(t, err, "answered with status")
+	}
+}
+
 // Guards against a client that sends a lookup before each request, or caches an
 // answer for longer than the answer permits.
 func TestLookupCache(t *testing.T) {
--- a/transport/shentry/dispatch.go
+++ b/transport/shentry/dispatch.go
@@ -37,6 +37,7 @@
 	FaultTimeout  Fault = "no answer in time"
 	FaultBroken   Fault = "connection broken"
 	FaultMismatch Fault = "answer to another request"
+	FaultStatus   Fault = "no status of an answer"
 )
 
 // ProvesNotRun reports whether the fault proves that the attempt was not run.
@@ -126,7 +127,12 @@
 		}
 		return IncomingAnswer{}, sendFault(err)
 	}
-	return receive(response, o.RequestID, cancel)
+	in, fault := receive(response, o.RequestID, cancel)
+	if fault == FaultStatus && !o.NewConnection {
+		// The transport may have put the connection back into its pool already.
+		d.pooled.CloseIdleConnections()
+	}
+	return in, fault
 }
 
 func sendFault(err error) Fault {
@@ -142,6 +148,11 @@
 
 func receive(response *http.Response, id shmodel.RequestID, cancel context.CancelFunc) (IncomingAnswer, Fault) {
 	in := IncomingAnswer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+	if !shmodel.IsFinalStatus(response.StatusCode) {
+		cancel()
+		_ = response.Body.Close()
+		return in, FaultStatus
+	}
 	if response.Header.Get(shwire.HeaderRequestID) != id.String() {
 		cancel()
 		_ = response.Body.Close()
--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -253,7 +253,7 @@
 		return shrequest.Shed{}
 	case FaultTimeout:
 		return shrequest.FirstByteTimeout{}
-	case FaultMismatch:
+	case FaultMismatch, FaultStatus:
 		return shrequest.IDMismatch{}
 	}
 	return shrequest.ConnectionBroken{}
--- a/transport/shentry/forward.go
+++ b/transport/shentry/forward.go
@@ -241,8 +241,8 @@
 func (h *forwardHandler) answer(ctx context.Context, r shrequest.Execution) {
 	answer := r.Answer
 	r.Answer.Header, r.Answer.Body = nil, nil
-	if answer.Status == 0 {
-		answer.Status = http.StatusOK
+	if r.Outcome != shmodel.Answered {
+		answer.Status = http.StatusOK // of the forward itself
 	}
 	in := IncomingAnswer{Status: answer.Status, Header: answer.Header, Body: answer.Body, Length: int64(len(answer.Body))}
 	if _, err := h.send(ctx, r, in); err != nil {
--- a/transport/shentry/http.go
+++ b/transport/shentry/http.go
@@ -99,6 +99,9 @@
 // an error the caller must abort the connection, so that its peer never takes a
 // truncated answer for a complete one.
 func copyAnswer(w http.ResponseWriter, in IncomingAnswer, id shmodel.RequestID, outcome shmodel.Outcome, pace func(int) error) (int64, error) {
+	if !shmodel.IsFinalStatus(in.Status) {
+		return 0, fmt.Errorf("status %d is no answer", in.Status)
+	}
 	h := w.Header()
 	for name, values := range endToEndHeaders(in.Header) {
 		h[name] = values
--- a/transport/shfront/body.go
+++ b/transport/shfront/body.go
@@ -161,6 +161,15 @@
 	}
 	// The caller closed the connection, so no answer can be sent.
 	x.finish(outcomeCanceled, 0, reason)
+	x.abort()
+}
+
+// abort closes the connection of the caller without an answer. net/http reads on before
+// it does, looking for the end of the body; that must not wait for the caller.
+func (x *exchange) abort() {
+	if !x.body.ended {
+		_ = x.body.control.SetReadDeadline(time.Unix(1, 0))
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/transport/shfront/body_test.go
+++ b/transport/shfront/body_test.go
@@ -190,8 +190,10 @@
 	b, h = newUploads(t, 0, count)
 	h.err = shfront.ErrGivenUp
 	_, reader = b.open(t, "Content-Length: 5", "")
+	began := time.Now()
 	_, err := reader.ReadByte()
 	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(began) < 2*time.Second)
 	assertReleased(t, h)
 	assert.Equal(t, b.runs(), 0)
 }
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -190,7 +190,7 @@
 	case shorigin.KindCanceled:
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
 		x.finish(outcomeCanceled, 0, "the caller left")
-		panic(http.ErrAbortHandler)
+		x.abort()
 	case shorigin.KindTimeout:
 		x.handler.Balancer.Done(now, c, shbalance.Slow{})
 	default:
--- a/transport/shoperator/server_test.go
+++ b/transport/shoperator/server_test.go
@@ -189,6 +189,28 @@
 	assert.Equal(t, f.current.Revision, uint64(1))
 }
 
+// TestStatuses guards against a status that is none and passes for an accepted change, or
+// for one that was not made. Only 200 is accepted, and any other status without a known
+// problem is KindInternal.
+func TestStatuses(t *testing.T) {
+	for _, status := range []string{"000", "101", "600"} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, buffer, _ := http.NewResponseController(w).Hijack()
+			defer c.Close()
+			_, _ = buffer.WriteString("HTTP/1.1 " + status + " x\r\nContent-Length: 2\r\n\r\n{}")
+			_ = buffer.Flush()
+		}))
+		t.Cleanup(s.Close)
+		client := &shoperator.Client{Address: s.Listener.Addr().String()}
+		_, err := client.AccountVerify(t.Context())
+		assert.Equal(t, kindOf(t, err), shoperator.KindInternal)
+		if status == "000" { // KindInternal: a change may have been made
+			_, err = client.Apply(t.Context(), edit("one", 0, 3))
+			assert.Equal(t, kindOf(t, err), shoperator.KindInternal)
+		}
+	}
+}
+
 // TestChangeKinds guards against telling an operator that a change was not made
 // when it may have been.
 func TestChangeKinds(t *testing.T) {
--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"sequoiahollow/state/shmodel"
 )
 
 // Client sends requests to backend servers and reuses connections. The zero value
@@ -313,9 +315,12 @@
 		if err != nil {
 			return Response{}, false, transferError("read head", err)
 		}
-		if answer.StatusCode < http.StatusOK {
+		if isInterim(answer.StatusCode) {
 			continue
 		}
+		if !shmodel.IsFinalStatus(answer.StatusCode) {
+			return Response{}, false, &Error{Op: "read head", Kind: KindGarbled, Err: fmt.Errorf("status %q", answer.Status)}
+		}
 		if answer.Header.Get(r.EchoHeader) != r.Header.Get(r.EchoHeader) {
 			x.input.left = maxBody
 			if _, err := io.Copy(io.Discard, answer.Body); err != nil {
@@ -343,6 +348,11 @@
 	return Response{}, false, &Error{Op: "read head", Kind: KindGarbled, Err: errors.New("answers to other requests only")}
 }
 
+// isInterim reports whether a status precedes an answer.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // readBody reads a body that is held until it is complete. Beyond the first
 // bodyStep bytes it takes memory from what all such bodies share, a step at a time.
 // The steps are joined only at the end: a buffer that grows would leave as much
--- a/transport/shorigin/shorigin.go
+++ b/transport/shorigin/shorigin.go
@@ -21,6 +21,8 @@
 // then returned, and the connection is closed, since other bytes must not arrive where
 // the rest of the body is due.
 //
+// A status outside 100 to 599 is no answer, nor is 101: the error is of KindGarbled.
+//
 // What is read for one answer is bounded: a backend server may send bytes without
 // end, in a head or in a body. The connection is then closed and the error is of
 // KindGarbled.
