Stop keys of teams within a bound on every entry VM

The key is checked again right before the request is written. A request whose key is gone ends with 401, one after the end of the permission with 503, both without trying further backend servers; one whose key moved to another team is authorized again.

Ruled out: a confirmed read for each watch answer, which costs a round of messages to a quorum for each release.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -260,9 +260,7 @@
 		return false
 	case slices.Contains(r.Tried, n.backend.ID), n.stated.leaving, n.stated.isWaiting(now):
 		return false
-	case len(r.Route.Regions) > 0 && !slices.Contains(r.Route.Regions, n.region):
-		return false
-	case len(r.Regions) > 0 && !slices.Contains(r.Regions, n.region):
+	case !r.permitsRegion(n.region):
 		return false
 	case n.isCold(now):
 		return n.coldTokens(now, b.ownColdRate(now, n)) >= 1
@@ -270,6 +268,12 @@
 	return true
 }
 
+// permitsRegion reports whether both the route and the caller permit a region.
+func (r Request) permitsRegion(region shmodel.Region) bool {
+	return (len(r.Route.Regions) == 0 || slices.Contains(r.Route.Regions, region)) &&
+		(len(r.Regions) == 0 || slices.Contains(r.Regions, region))
+}
+
 // ownColdRate returns the rate, in requests per second, at which this entry VM
 // may send to a cold backend server. It is infinite if there is no limit.
 func (b *Balancer) ownColdRate(now time.Time, n *backendState) float64 {
--- a/coordination/shbalance/statement.go
+++ b/coordination/shbalance/statement.go
@@ -1,7 +1,6 @@
 package shbalance
 
 import (
-	"slices"
 	"time"
 
 	"sequoiahollow/coordination/shfleet"
@@ -148,7 +147,7 @@
 		case n.stated.leaving:
 			refusal.Leaving++
 		case n.backend.Leaving, b.evacuated[n.backend.Zone]:
-		case len(r.Route.Regions) > 0 && !slices.Contains(r.Route.Regions, n.region):
+		case !r.permitsRegion(n.region):
 		case n.stated.isWaiting(now):
 			refusal.Waiting++
 			soonest = min(soonest, n.stated.until.Sub(now))
--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -45,6 +45,9 @@
 	RetryShare         float64 `json:"retryShare"`
 	RetrySlack         float64 `json:"retrySlack"`
 	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
+	// RevokeSeconds is the time after the acknowledgement of a routing table within
+	// which keys that it took away stop everywhere; zero for no bound.
+	RevokeSeconds float64 `json:"revokeSeconds"`
 }
 
 // LoadFleet reads and checks a file of fleet settings. The error is an *Error;
@@ -110,6 +113,7 @@
 	}
 	for name, value := range map[string]float64{
 		"retryShare": f.RetryShare, "retrySlack": f.RetrySlack, "retryWindowSeconds": f.RetryWindowSeconds,
+		"revokeSeconds": f.RevokeSeconds,
 	} {
 		if value < 0 {
 			report(name, "%v is negative", value)
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -24,13 +24,18 @@
 	id       string
 	body     []byte
 
-	view     *shfleet.View
-	route    *shfleet.Route
-	team     *shfleet.Team // nil if the table has no teams or the route is public
-	service  shmodel.Service
-	key      string
-	digest   shmodel.Digest
-	deadline time.Time
+	view    *shfleet.View
+	route   *shfleet.Route
+	team    *shfleet.Team // nil if the table has no teams or the route is public
+	teamKey string
+	// keysUntil is the end of the permission to accept the keys of view, or of an
+	// earlier one; keyChanged is set if the check at the time of sending failed.
+	keysUntil  time.Duration
+	keyChanged bool
+	service    shmodel.Service
+	key        string
+	digest     shmodel.Digest
+	deadline   time.Time
 
 	// mayHaveRun counts the backend servers that may have run the request,
 	// reached those that it was sent to, and dialFailures those to which no
@@ -64,6 +69,7 @@
 	if !x.readBody(x.view.Limits.BodyBytes) {
 		return
 	}
+	x.loadView()
 	if h.Refusing() {
 		x.refuse("the VM stops", minRetryAfter)
 		return
@@ -127,11 +133,11 @@
 			return
 		}
 		result := x.attempt(choice)
-		if result == attemptDelivered {
+		if result == attemptDelivered || result == attemptWithheld && !x.authorizeAgain() {
 			return
 		}
 		reason := "the request may have run"
-		if result == attemptMayRepeat {
+		if result != attemptFinal {
 			reason = x.noRetryReason()
 		}
 		if reason != "" {
@@ -151,6 +157,9 @@
 	attemptMayRepeat
 	// attemptDelivered means that the caller has its answer.
 	attemptDelivered
+	// attemptWithheld means that the request was not sent, since the check of its key
+	// at the time of sending failed.
+	attemptWithheld
 )
 
 // retryIfIdempotent returns whether a request that may have run may be sent
@@ -175,7 +184,7 @@
 		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: header,
 		Body: x.body, Chunked: x.request.ContentLength < 0,
 		EchoHeader: h.Dialect.RequestID, TimeoutHeader: h.Dialect.Timeout,
-		MaySend:  func() bool { return x.mayStillRun() && h.Balancer.MaySend(time.Now(), c) },
+		MaySend:  x.maySend(c),
 		Deadline: x.deadline, Once: x.route.Kind == shmodel.OnceOnly, StreamFrom: x.streamFrom(),
 	})
 	declined := x.observeStatements(c, response)
@@ -197,6 +206,9 @@
 		return attemptMayRepeat
 	case shorigin.KindWithheld:
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
+		if x.keyChanged {
+			return attemptWithheld
+		}
 		return attemptMayRepeat
 	case shorigin.KindCanceled:
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
--- a/transport/shfront/handler.go
+++ b/transport/shfront/handler.go
@@ -16,6 +16,7 @@
 	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shlimit"
+	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shorigin"
 )
@@ -37,9 +38,11 @@
 	// Report is called for a request that counts as the cause of a crash, and
 	// again if such a request later completes. It must not block.
 	Report func(CrashReport)
-	// KeysCurrent reports whether the keys of the view are recent enough to be
-	// accepted; nil means always.
-	KeysCurrent func() bool
+	// KeysUntil returns when the permission to accept the keys of the view ends, by
+	// Clock; nil means never. It is called before View.
+	KeysUntil func() time.Duration
+	// Clock is the clock of KeysUntil, nil for shclock.SinceBoot.
+	Clock shclock.Func
 	// Allowance bounds the requests of teams; nil means no bound.
 	Allowance Allowance
 	// Account takes the account records of each request; with nil none are
--- a/transport/shfront/report.go
+++ b/transport/shfront/report.go
@@ -41,12 +41,12 @@
 // finish logs, counts and records a request without a delivered answer.
 func (x *exchange) finish(outcome string, status int, reason string) {
 	took := time.Since(x.received)
-	route := ""
+	route, priority := "", 0
 	if x.route != nil {
-		route = x.route.Name
+		route, priority = x.route.Name, x.priority()
 	}
 	attrs := []any{
-		"request", x.id, "route", route, "service", x.service, "outcome", outcome, "status", status, "reason", reason,
+		"request", x.id, "route", route, "priority", priority, "service", x.service, "outcome", outcome, "status", status, "reason", reason,
 		"attempts", len(x.tried), "mayHaveRun", x.mayHaveRun, "tookMs", took.Milliseconds(),
 		"version", x.view.Version, "index", x.view.Index,
 	}
--- a/transport/shfront/team.go
+++ b/transport/shfront/team.go
@@ -1,10 +1,14 @@
 package shfront
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
+	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 )
 
@@ -21,26 +25,41 @@
 // been taken away. It is about the time in which it finds a new leader.
 const staleKeysRetryAfter = time.Second
 
+// keyRefusal is why the key of a request is not accepted, "" if it is.
+type keyRefusal string
+
+const (
+	unknownKey      keyRefusal = "unknown key"
+	permissionEnded keyRefusal = "permission ended"
+)
+
+// loadView loads the permission and then the view, so that the permission is not
+// newer than the view. Reading the body may have taken long.
+func (x *exchange) loadView() {
+	if h := x.handler; h.KeysUntil != nil {
+		x.keysUntil = h.KeysUntil()
+	}
+	x.view = x.handler.View()
+}
+
 // authorize finds the team of the request and takes the request from its allowance.
 // It returns false if it has answered the caller.
 func (x *exchange) authorize() bool {
-	h, table := x.handler, x.view.Table
-	if !table.Keyed() {
-		return true
+	if x.view.Table.Keyed() {
+		x.teamKey = x.handler.Dialect.TeamKey(x.request.Header)
 	}
-	if !x.keysCurrent() {
-		x.refuse("keys may have been taken away", staleKeysRetryAfter)
+	team, refusal := x.checkKey(x.view.Table, x.keysUntil, x.now)
+	if refusal != "" {
+		x.refuseKey(refusal)
 		return false
 	}
-	x.team = table.Team(h.Dialect.TeamKey(x.request.Header))
-	if x.team == nil {
-		if table.NeedsKey(x.route) {
-			x.reject(http.StatusUnauthorized, "no team holds the key")
-			return false
-		}
-		return true
-	}
-	if h.Allowance == nil || x.team.Rate <= 0 {
+	x.team = team
+	return x.takeAllowance()
+}
+
+func (x *exchange) takeAllowance() bool {
+	h := x.handler
+	if x.team == nil || h.Allowance == nil || x.team.Rate <= 0 {
 		return true
 	}
 	ok, after := h.Allowance.Take(x.request, x.team)
@@ -50,20 +69,115 @@
 	return ok
 }
 
-// keysCurrent reports whether the keys of the view may still be accepted.
-func (x *exchange) keysCurrent() bool {
-	h := x.handler
-	return !x.view.Table.Keyed() || h.KeysCurrent == nil || h.KeysCurrent()
+// checkKey returns the team that holds the key of the request by a table, nil if the
+// request needs none. The clock is read last, if now is not nil: a VM that was stopped
+// before that notices that its permission has ended.
+func (x *exchange) checkKey(table *shfleet.RouteIndex, until time.Duration, now shclock.Func) (*shfleet.Team, keyRefusal) {
+	if !table.Keyed() || x.teamKey == "" && !table.NeedsKey(x.route) {
+		return nil, ""
+	}
+	team := table.Team(x.teamKey)
+	switch {
+	case now != nil && x.handler.KeysUntil != nil && now() >= until:
+		return nil, permissionEnded
+	case team == nil && table.NeedsKey(x.route):
+		return nil, unknownKey
+	}
+	return team, ""
+}
+
+func (x *exchange) now() time.Duration {
+	if clock := x.handler.Clock; clock != nil {
+		return clock()
+	}
+	return shclock.SinceBoot()
+}
+
+// refuseKey answers a request whose key is not accepted. The caller must come back
+// after the end of the permission, as its key may be known to other VMs.
+func (x *exchange) refuseKey(refusal keyRefusal) {
+	x.handler.Metrics.GetOrCreateCounter(fmt.Sprintf(`sequoiahollow_keys_refused_total{cause=%q}`, refusal)).Inc()
+	if refusal == unknownKey {
+		x.reject(http.StatusUnauthorized, "no team holds the key")
+		return
+	}
+	x.refuse("keys may have been taken away", staleKeysRetryAfter)
+}
+
+// maySend returns the check that a request passes before a connection to a backend
+// server is chosen, and again right before the request is written. Only the second one
+// reads the clock.
+func (x *exchange) maySend(c shbalance.Choice) func() bool {
+	var clock shclock.Func
+	return func() bool {
+		ok := x.mayStillRun(clock) && x.handler.Balancer.MaySend(time.Now(), c)
+		clock = x.now
+		return ok
+	}
 }
 
 // mayStillRun reports whether a request that was accepted may still be sent: its key
-// may have been taken away since, or the VM may no longer know.
-func (x *exchange) mayStillRun() bool {
-	if x.team == nil {
-		return true
+// may have been taken away or given to another team since, or the VM may not know.
+func (x *exchange) mayStillRun(clock shclock.Func) bool {
+	h, until := x.handler, x.keysUntil
+	if h.KeysUntil != nil {
+		until = h.KeysUntil()
+	}
+	table := h.View().Table
+	if table.Keyed() != x.view.Table.Keyed() {
+		x.keyChanged = true
+		return false
+	}
+	team, refusal := x.checkKey(table, until, clock)
+	x.keyChanged = refusal != "" || !sameTeam(team, x.team)
+	return !x.keyChanged
+}
+
+// sameTeam reports whether requests of two teams are sent in the same way.
+func sameTeam(a, b *shfleet.Team) bool {
+	if a == b || a == nil || b == nil {
+		return a == b
+	}
+	return a.Name == b.Name && slices.Equal(a.Regions, b.Regions)
+}
+
+// authorizeAgain checks a request that was not sent for its key against the present
+// view. It returns false if it has answered the caller.
+func (x *exchange) authorizeAgain() bool {
+	// The attempt was not made, so the same backend server may be chosen again.
+	x.tried, x.attempts = x.tried[:len(x.tried)-1], x.attempts[:len(x.attempts)-1]
+	x.keyChanged = false
+	x.loadView()
+	if r := x.view.Table.Route(hostOf(x.request), pathOf(x.request.RequestURI)); r != nil {
+		x.route = r
+	}
+	if x.mayHaveRun == 0 {
+		x.returnAllowance()
+		return x.authorize()
+	}
+	team, refusal := x.checkKey(x.view.Table, x.keysUntil, x.now)
+	if refusal != "" {
+		x.giveUp(string(refusal), staleKeysRetryAfter)
+		return false
+	}
+	x.team = team
+	return true
+}
+
+// returnAllowance gives a request that has not run back to the allowance of its team.
+func (x *exchange) returnAllowance() {
+	if a := x.handler.Allowance; a != nil && x.team != nil && x.team.Rate > 0 {
+		a.Return(x.team)
+	}
+}
+
+// priority returns the rank of the request, 0 for the highest. That of the team goes
+// before that of the route.
+func (x *exchange) priority() int {
+	if x.team != nil && x.team.Priority != nil {
+		return *x.team.Priority
 	}
-	table := x.handler.View().Table
-	return x.keysCurrent() && table.Team(x.handler.Dialect.TeamKey(x.request.Header)) != nil
+	return x.route.Priority
 }
 
 // teamRegions returns the regions to which the team of the request is bound.
--- a/transport/shleader/shleader.go
+++ b/transport/shleader/shleader.go
@@ -66,6 +66,12 @@
 // to try them; it is called before each attempt. If an answer is lost, the leader
 // may handle the request twice, so the request must be idempotent.
 func Call[R any](ctx context.Context, f *Finder, c *shpeer.Client, addresses func() []string, method string, request any) (R, error) {
+	return CallEach[R](ctx, f, c, addresses, method, func() any { return request })
+}
+
+// CallEach is Call with a request that is made anew for each attempt, right before it
+// is sent.
+func CallEach[R any](ctx context.Context, f *Finder, c *shpeer.Client, addresses func() []string, method string, request func() any) (R, error) {
 	var zero R
 	var lastErr error
 	for attempt := 0; ; attempt++ {
@@ -74,7 +80,7 @@
 		if address == "" {
 			return zero, &Error{Op: method, Kind: KindUnavailable, Err: errors.New("no control VM is known")}
 		}
-		response, err := call[R](ctx, f, c, address, method, request)
+		response, err := call[R](ctx, f, c, address, method, request())
 		if err == nil {
 			f.setLeader(address)
 			return response, nil
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -10,6 +10,7 @@
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shraft"
+	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
 	"sequoiahollow/transport/shleader"
@@ -41,7 +42,7 @@
 	// lastHeartbeat and lastWatch are kept in the memory of the leader only; a
 	// new leader starts with empty ones.
 	lastHeartbeat map[shmodel.BackendServer]time.Time
-	lastWatch     map[shmodel.VM]time.Time
+	lastWatch     map[shmodel.VM]observed
 	// unreportedHeartbeats are the backend servers that sent a heartbeat to this VM
 	// since its last report to the leader.
 	unreportedHeartbeats map[shmodel.BackendServer]bool
@@ -67,12 +68,17 @@
 	if config.BackendTimeout == 0 {
 		config.BackendTimeout = DefaultBackendTimeout
 	}
+	if config.Suspensions == nil {
+		config.Suspensions = &shclock.Suspensions{}
+	}
+	// Confirmations from before the first reading do not count.
+	config.Suspensions.Since()
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Registry{
 		config: config, ctx: ctx, cancel: cancel,
 		changed:              make(chan struct{}),
 		lastHeartbeat:        map[shmodel.BackendServer]time.Time{},
-		lastWatch:            map[shmodel.VM]time.Time{},
+		lastWatch:            map[shmodel.VM]observed{},
 		unreportedHeartbeats: map[shmodel.BackendServer]bool{},
 		announcedAt:          map[shmodel.BackendServer]time.Time{},
 		sequences:            map[shmodel.BackendServer]sequence{},
--- a/transport/shregistry/release_test.go
+++ b/transport/shregistry/release_test.go
@@ -14,9 +14,9 @@
 
 // newLeader returns a leader without a store, with observers and a routing table.
 func newLeader(observers int) *Registry {
-	r := &Registry{changed: make(chan struct{}), lastWatch: map[shmodel.VM]time.Time{}, leaderSince: time.Now()}
+	r := &Registry{changed: make(chan struct{}), lastWatch: map[shmodel.VM]observed{}, leaderSince: time.Now()}
 	for i := range observers {
-		r.lastWatch[shmodel.VM(fmt.Sprint("e", i))] = time.Now()
+		r.lastWatch[shmodel.VM(fmt.Sprint("e", i))] = observed{at: time.Now()}
 	}
 	var routes []shfleet.Route
 	for i := range 350 {
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shlog"
 	"sequoiahollow/transport/shpeer"
@@ -114,8 +115,11 @@
 	// BackendTimeout is how long a backend server without a heartbeat stays listed;
 	// zero means DefaultBackendTimeout.
 	BackendTimeout time.Duration
-	FS             shlog.FS
-	Logger         *slog.Logger
+	// Suspensions tells for how long the VM has run without a suspension; nil uses
+	// the clocks of the system.
+	Suspensions *shclock.Suspensions
+	FS          shlog.FS
+	Logger      *slog.Logger
 }
 
 // Announcement is what a backend server reports about itself.
@@ -131,6 +135,9 @@
 	Since uint64     `json:"since"`
 	// Entry is set by entry VMs.
 	Entry *shfleet.Entry `json:"entry,omitempty"`
+	// Hold is how long the leader may wait for a change before it answers, nil for
+	// LongPollTimeout.
+	Hold *shfleet.Millis `json:"holdMs,omitempty"`
 	// AcceptsPacked says that the observer reads WatchResponse.Packed.
 	AcceptsPacked bool `json:"acceptsPacked,omitempty"`
 }
@@ -141,6 +148,10 @@
 	Change shfleet.Change `json:"change"`
 	// Packed is a large Change as compressed JSON; Change is then empty.
 	Packed []byte `json:"packed,omitempty"`
+	// Confirmed is how long before the answer a quorum last confirmed the leader. The
+	// change contains everything that was acknowledged before that. It is nil if the
+	// leader does not know.
+	Confirmed *shfleet.Millis `json:"confirmedMs,omitempty"`
 	// Control are the peer addresses of the control VMs.
 	Control []string `json:"control"`
 }
--- a/transport/shregistry/watch.go
+++ b/transport/shregistry/watch.go
@@ -19,7 +19,9 @@
 func (r *Registry) watch(ctx context.Context, w WatchRequest) (WatchResponse, error) {
 	deadline := time.NewTimer(LongPollTimeout)
 	defer deadline.Stop()
-	recorded := false
+	hold := time.NewTimer(w.hold())
+	defer hold.Stop()
+	recorded, held := false, false
 	for {
 		behind, changed, leading := r.isBehind(w.Since)
 		switch {
@@ -30,11 +32,13 @@
 		case recorded || r.knowsOtherLeader():
 			return WatchResponse{}, r.notLeader(MethodWatch)
 		}
-		if leading && behind {
+		if leading && (behind || held) {
 			return r.watchResponse(w)
 		}
 		select {
 		case <-changed:
+		case <-hold.C:
+			held = true
 		case <-deadline.C:
 			if !leading {
 				return WatchResponse{}, r.notLeader(MethodWatch)
@@ -61,9 +65,10 @@
 }
 
 // watchResponse returns the answer to a watch call. It fails if this VM has just
-// lost the leadership, since its state may then be old.
+// lost the leadership, since its state may then be old. The confirmation is read before
+// the state, so that the state contains what was acknowledged before the confirmation.
 func (r *Registry) watchResponse(w WatchRequest) (WatchResponse, error) {
-	response := WatchResponse{Control: r.controlAddresses()}
+	response := WatchResponse{Control: r.controlAddresses(), Confirmed: r.confirmedAge()}
 	if !r.isLeading() {
 		return WatchResponse{}, r.notLeader(MethodWatch)
 	}
@@ -110,7 +115,7 @@
 // as a change.
 func (r *Registry) recordWatch(w WatchRequest) {
 	r.mu.Lock()
-	r.lastWatch[w.VM] = time.Now()
+	r.lastWatch[w.VM] = observed{at: time.Now(), index: w.Since}
 	changed := false
 	if w.Entry != nil {
 		known, ok := r.state.Entries[w.VM]
@@ -226,7 +231,7 @@
 	}
 	var entries []shmodel.VM
 	for vm := range r.state.Entries {
-		if now.Sub(later(r.lastWatch[vm], r.leaderSince)) > EntryTimeout {
+		if now.Sub(later(r.lastWatch[vm].at, r.leaderSince)) > EntryTimeout {
 			entries = append(entries, vm)
 		}
 	}
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -69,7 +69,10 @@
 	if _, err := c.listen(c.Settings.ControlAddress, options.Control(c)); err != nil {
 		return err
 	}
-	return c.listenMetrics(options.Metrics.Address, options.Metrics.Path, c.serveAccount)
+	return c.listenMetrics(options.Metrics.Address, options.Metrics.Path, func(mux *http.ServeMux) {
+		c.serveAccount(mux)
+		c.serveObservers(mux)
+	})
 }
 
 // keepRegistryOpen keeps the registry open until ctx ends. A registry whose store
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -58,7 +58,8 @@
 	e.watcher = &shwatch.Watcher{
 		VM: s.VM, Client: e.client, Seeds: func() []string { return *e.seeds.Load() },
 		Entry: e.announcement, Logger: log,
-		Changed: func(v shfleet.View) { e.balancer.Update(time.Now(), v) },
+		Changed:      func(v shfleet.View) { e.balancer.Update(time.Now(), v) },
+		RevokeWithin: shsettings.Seconds(s.RevokeSeconds),
 	}
 	e.account = newAccountWriter(e.process, e.watcher)
 	e.addGauges()
@@ -69,6 +70,7 @@
 		},
 		Dialect: options.Dialect, Balancer: e.balancer, Origin: e.origin, View: e.watcher.View,
 		Closing: e.closing.Load, Refusing: e.refusing.Load, Report: e.report, Metrics: e.metrics, Logger: log,
+		KeysUntil: e.keysUntil(),
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/transport/shwatch/shwatch.go
+++ b/transport/shwatch/shwatch.go
@@ -4,6 +4,9 @@
 // each change to a view whose log index never decreases. Readers load the view
 // without locks. If the leader does not answer, the Watcher tries the other
 // control VMs that it knows: those in the last answer, then the seeds.
+//
+// With RevokeWithin set, KeysUntil says how long the keys of the view may be accepted.
+// docs/design/keys.md shows that a key stops within that time everywhere.
 package shwatch
 
 import (
@@ -16,6 +19,7 @@
 
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
 	"sequoiahollow/transport/shleader"
@@ -45,12 +49,18 @@
 	Entry func() *shfleet.Entry
 	// Changed is called after each new view.
 	Changed func(shfleet.View)
-	Logger  *slog.Logger
+	// RevokeWithin is the time after the acknowledgement of a table within which keys
+	// that it took away must stop, zero for no bound.
+	RevokeWithin time.Duration
+	// Clock measures the permission to accept keys; nil means shclock.SinceBoot.
+	Clock  shclock.Func
+	Logger *slog.Logger
 
 	watchFinder      shleader.Finder // for the watch call, which has a longer timeout
 	finder           shleader.Finder
 	view             atomic.Pointer[shfleet.View]
 	lastAnswer       atomic.Pointer[time.Time] // nil before the first
+	permission       atomic.Int64              // see permittedSince
 	mu               sync.Mutex
 	controlAddresses []string
 	cancel           context.CancelFunc // ends the call in progress
@@ -77,7 +87,6 @@
 
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
-	w.watchFinder.CallTimeout = shregistry.LongPollTimeout + answerMargin
 	for ctx.Err() == nil {
 		w.poll(ctx)
 	}
@@ -128,7 +137,13 @@
 	}
 	w.cancel = cancel
 	w.mu.Unlock()
-	response, err := shleader.Call[shregistry.WatchResponse](ctx, &w.watchFinder, w.Client, w.addresses, shregistry.MethodWatch, request)
+	w.watchFinder.CallTimeout = w.longestHold() + answerMargin
+	var sentAt time.Duration
+	response, err := shleader.CallEach[shregistry.WatchResponse](ctx, &w.watchFinder, w.Client, w.addresses, shregistry.MethodWatch, func() any {
+		sentAt = w.boot()
+		request.Hold = w.hold(sentAt)
+		return request
+	})
 	if err != nil {
 		if ctx.Err() != context.Canceled {
 			age, _ := w.Age()
@@ -148,6 +163,7 @@
 	w.controlAddresses = response.Control
 	w.mu.Unlock()
 	w.apply(change)
+	w.renewPermission(sentAt, response.Confirmed, change)
 }
 
 func (w *Watcher) apply(c shfleet.Change) {
