--- /dev/null
+++ b/transport/shregistry/revoke_test.go
@@ -0,0 +1,124 @@
+package shregistry_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/state/shclock"
+	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shpeer"
+	"sequoiahollow/transport/shwatch"
+)
+
+// startKeyObserver starts an observer that accepts keys with a bound for revocations,
+// and returns the function that cuts it off.
+func startKeyObserver(t *testing.T, v *vm, name shmodel.VM, revokeWithin time.Duration) (*shwatch.Watcher, func()) {
+	t.Helper()
+	client := shpeer.NewClient(shpeer.Config{Connections: 1})
+	w := &shwatch.Watcher{
+		VM: name, Client: client, Seeds: func() []string { return v.config.Seeds }, RevokeWithin: revokeWithin,
+		Logger: slog.New(slog.DiscardHandler),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.Run(ctx)
+	}()
+	cut := sync.OnceFunc(func() {
+		cancel()
+		client.Close()
+		<-ended
+	})
+	t.Cleanup(cut)
+	return w, cut
+}
+
+func documentWithKey(version uint64, keys ...string) shfleet.Document {
+	team := shfleet.Team{Name: "a"}
+	for _, k := range keys {
+		team.Keys = append(team.Keys, shfleet.DigestKey(k))
+	}
+	return shfleet.Document{
+		Version: version, Base: version - 1, Source: []byte{byte(version)}, Table: shfleet.Table{Teams: []shfleet.Team{team}},
+	}
+}
+
+func accepts(w *shwatch.Watcher, key string) bool {
+	until := w.KeysUntil()
+	table := w.View().Table
+	return table != nil && table.Team(key) != nil && shclock.SinceBoot() < until
+}
+
+func leaderOf(vms []*vm) *vm {
+	for _, v := range vms {
+		if v.Status().Leader.VM == v.config.VM {
+			return v
+		}
+	}
+	return nil
+}
+
+// Guards against a key that is accepted longer than the bound after the document that
+// takes it away was acknowledged: by a VM that was cut off before, and if the leader
+// is lost between the commit and the acknowledgement and the document is sent again.
+func TestRevocation(t *testing.T) {
+	const revokeWithin = 5 * time.Second
+	vms := startGroup(t)
+	inTouch, _ := startKeyObserver(t, vms[0], "in-touch", revokeWithin)
+	cutOff, cut := startKeyObserver(t, vms[0], "cut-off", revokeWithin)
+	retry(t, func(ctx context.Context) error { return vms[1].PutDocument(ctx, documentWithKey(1, "k")) })
+	for _, w := range []*shwatch.Watcher{inTouch, cutOff} {
+		eventually(t, "the key is accepted", func() bool { return accepts(w, "k") })
+	}
+	cut()
+	assert.Assert(t, accepts(cutOff, "k"))
+	leader := leaderOf(vms)
+	assert.Assert(t, leader != nil)
+	first := make(chan error, 1)
+	go func() { first <- leader.PutDocument(context.Background(), documentWithKey(2)) }()
+	eventually(t, "the second document is in force", func() bool { return inTouch.View().Version == 2 })
+	leader.stop()
+	<-first
+	other := vms[0]
+	if leader == other {
+		other = vms[1]
+	}
+	retry(t, func(ctx context.Context) error { return other.PutDocument(ctx, documentWithKey(2)) })
+	acknowledged := shclock.SinceBoot()
+	assert.Assert(t, !accepts(inTouch, "k"))
+	assert.Assert(t, cutOff.KeysUntil() <= acknowledged+revokeWithin)
+	eventually(t, "keys are accepted again", func() bool { return inTouch.KeysUntil() > acknowledged })
+	assert.Equal(t, inTouch.View().Version, uint64(2))
+}
+
+// Guards against a leader without a quorum that goes on renewing permissions.
+func TestLeaderWithoutQuorumRenewsNoPermission(t *testing.T) {
+	// The permission is shorter than the time after which the leader steps down.
+	const revokeWithin = 2 * time.Second
+	vms := startGroup(t)
+	w, _ := startKeyObserver(t, vms[0], "observer", revokeWithin)
+	retry(t, func(ctx context.Context) error { return vms[1].PutDocument(ctx, documentWithKey(1, "k")) })
+	eventually(t, "the key is accepted", func() bool { return accepts(w, "k") })
+	leader := leaderOf(vms)
+	assert.Assert(t, leader != nil)
+	var stopping sync.WaitGroup
+	for _, v := range vms {
+		if v != leader {
+			stopping.Go(v.stop)
+		}
+	}
+	stopping.Wait()
+	lost := shclock.SinceBoot()
+	eventually(t, "the key is refused", func() bool { return !accepts(w, "k") })
+	time.Sleep(revokeWithin / 2)
+	assert.Assert(t, !accepts(w, "k"))
+	assert.Assert(t, w.KeysUntil() <= lost+revokeWithin*8/10)
+	assert.Assert(t, w.View().Table.Team("k") != nil, "the view stays")
+}
