--- a/transport/shregistry/revoke_test.go
+++ b/transport/shregistry/revoke_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shpeer"
+	"sequoiahollow/transport/shregistry"
 	"sequoiahollow/transport/shwatch"
 )
 
@@ -122,3 +124,43 @@
 	assert.Assert(t, w.KeysUntil() <= lost+revokeWithin*8/10)
 	assert.Assert(t, w.View().Table.Team("k") != nil, "the view stays")
 }
+
+// Guards against answers that renew permissions though the last confirmation of the
+// leader is old, or though it was suspended since.
+func TestLeaderThatWasStoppedRenewsNoPermission(t *testing.T) {
+	const revokeWithin = 2 * time.Second
+	// These are added to the readings of the clocks of all control VMs.
+	var steadyStep, bootStep atomic.Int64
+	vms := startGroup(t, func(c *shregistry.Config) {
+		c.Suspensions = &shclock.Suspensions{
+			Boot:   func() time.Duration { return shclock.SinceBoot() + time.Duration(bootStep.Load()) },
+			Steady: func() time.Time { return time.Now().Add(time.Duration(steadyStep.Load())) },
+		}
+	})
+	w, _ := startKeyObserver(t, vms[0], "observer", revokeWithin)
+	retry(t, func(ctx context.Context) error { return vms[1].PutDocument(ctx, documentWithKey(1, "k")) })
+	assertRefusedDuring := func(t *testing.T, change func()) {
+		t.Helper()
+		eventually(t, "the key is accepted", func() bool { return accepts(w, "k") })
+		change()
+		eventually(t, "the key is refused", func() bool { return !accepts(w, "k") })
+		age, ok := w.Age()
+		assert.Assert(t, ok && age < revokeWithin/2, "the leader has not answered for %s", age)
+	}
+	t.Run("stopped", func(t *testing.T) {
+		assertRefusedDuring(t, func() { steadyStep.Store(int64(revokeWithin)) })
+		steadyStep.Store(0)
+	})
+	t.Run("suspended", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		assertRefusedDuring(t, func() {
+			go func() {
+				for ctx.Err() == nil {
+					bootStep.Add(int64(20 * time.Millisecond))
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+		})
+	})
+}
