--- a/transport/shfront/keys_test.go
+++ b/transport/shfront/keys_test.go
@@ -283,6 +283,22 @@
 	assert.Equal(t, f.ask(t, aPublic, token).StatusCode, http.StatusServiceUnavailable)
 }
 
+// Guards against a caller that names its own team while the first teams are added.
+func TestFirstTeamsBeforeSending(t *testing.T) {
+	f := newKeyedFixture(t)
+	before := f.current.Load()
+	f.setTeams(team("a", secretKey))
+	loads := 0
+	f.handler.View = func() *shfleet.View {
+		// The view is loaded when the request arrives and when its body has been read.
+		if loads++; loads <= 2 {
+			return before
+		}
+		return f.current.Load()
+	}
+	assertShown(t, f.ask(t, aPublic, "Team: b", token), "a")
+}
+
 // Guards against a request without a valid key that runs, and against 401 from a VM
 // that may not know the newest keys.
 func TestKeyIsNeeded(t *testing.T) {
