Record the team of a request in the account and in logs

Account records and lines get an optional field, so stored records keep their format; summaries have a row for each team. The format tests of shaccount pass.

--- a/state/shexplain/shexplain.go
+++ b/state/shexplain/shexplain.go
@@ -112,7 +112,7 @@
 var contextMessages = []string{
 	"routing table in force", "no control VM answers", "entry VM started", "entry VM stops",
 	"backend server announced", "backend server withdrew", "silent backend servers removed",
-	"backend server leaves", "backend server wants no requests",
+	"permission to accept keys", "backend server leaves", "backend server wants no requests",
 }
 
 func isContext(l Line) bool { return slices.Contains(contextMessages, l.Message) }
--- a/state/shrecord/export.go
+++ b/state/shrecord/export.go
@@ -88,6 +88,7 @@
 	Operation     shmodel.OperationKind `json:"operation,omitempty"`
 	Key           string                `json:"key,omitempty"`
 	Caller        string                `json:"caller,omitempty"`
+	Team          string                `json:"team,omitempty"`
 	FromRegion    shmodel.Region        `json:"fromRegion,omitempty"`
 	ToRegion      shmodel.Region        `json:"toRegion,omitempty"`
 	BackendServer shmodel.BackendServer `json:"backendServer,omitempty"`
@@ -362,7 +363,7 @@
 func billableFields(r Record) Record {
 	return Record{
 		Outcome: r.Outcome, Status: r.Status, AnswerBytes: r.AnswerBytes, DurationUS: r.DurationUS,
-		RequestBytes: r.RequestBytes, Replayed: r.Replayed, Service: r.Service, Caller: r.Caller,
+		RequestBytes: r.RequestBytes, Replayed: r.Replayed, Service: r.Service, Caller: r.Caller, Team: r.Team,
 	}
 }
 
@@ -376,6 +377,7 @@
 	l.Operation = cmp.Or(r.Operation, l.Operation)
 	l.Key = cmp.Or(r.Key, l.Key)
 	l.Caller = cmp.Or(r.Caller, l.Caller)
+	l.Team = cmp.Or(r.Team, l.Team)
 	l.FromRegion = cmp.Or(r.FromRegion, l.FromRegion)
 	l.ToRegion = cmp.Or(r.ToRegion, l.ToRegion)
 	l.BackendServer = cmp.Or(r.BackendServer, l.BackendServer)
--- a/state/shrecord/filter_test.go
+++ b/state/shrecord/filter_test.go
@@ -33,13 +33,15 @@
 	s, err := shrecord.Summarize(func(yield func(shrecord.Line, error) bool) {
 		_ = yield(shrecord.Line{Kind: shrecord.RequestLine, Service: "s", Outcome: "answered", AnswerBytes: 3}, nil) &&
 			yield(shrecord.Line{Kind: shrecord.RequestLine, Service: "s", Outcome: "answered", AnswerBytes: 4, Replayed: true}, nil) &&
+			yield(shrecord.Line{Kind: shrecord.RequestLine, Service: "s", Outcome: "answered", Team: "t"}, nil) &&
 			yield(shrecord.Line{Kind: shrecord.RequestLine, Service: "s", Outcome: "not-run", Refused: true}, nil) &&
 			yield(shrecord.Line{Kind: shrecord.GapLine}, nil) && yield(shrecord.Line{Kind: shrecord.UnusedLine}, nil)
 	})
 	assert.NilError(t, err)
 	assert.Equal(t, s.Gaps, uint64(1))
-	assert.Equal(t, len(s.Rows), 2)
+	assert.Equal(t, len(s.Rows), 3)
 	assert.Equal(t, s.Rows[0].Requests, uint64(2))
 	assert.Equal(t, s.Rows[0].Replayed, uint64(1))
 	assert.Equal(t, s.Rows[0].AnswerBytes, int64(7))
+	assert.Equal(t, s.Rows[2].Team, "t")
 }
--- a/state/shrecord/record.go
+++ b/state/shrecord/record.go
@@ -46,13 +46,15 @@
 	Attempt uint32     `json:"attempt,omitempty"`
 	VM      shmodel.VM `json:"vm"`
 	// At is the time of the event by the wall clock of VM.
-	At            time.Time             `json:"at"`
-	Service       shmodel.Service       `json:"service,omitempty"`
-	Method        string                `json:"method,omitempty"`
-	Path          string                `json:"path,omitempty"`
-	Operation     shmodel.OperationKind `json:"operation,omitempty"`
-	Key           string                `json:"key,omitempty"`
-	Caller        string                `json:"caller,omitempty"`
+	At        time.Time             `json:"at"`
+	Service   shmodel.Service       `json:"service,omitempty"`
+	Method    string                `json:"method,omitempty"`
+	Path      string                `json:"path,omitempty"`
+	Operation shmodel.OperationKind `json:"operation,omitempty"`
+	Key       string                `json:"key,omitempty"`
+	Caller    string                `json:"caller,omitempty"`
+	// Team is the customer whose key the request carried, if the table has teams.
+	Team          string                `json:"team,omitempty"`
 	FromRegion    shmodel.Region        `json:"fromRegion,omitempty"`
 	ToRegion      shmodel.Region        `json:"toRegion,omitempty"`
 	BackendServer shmodel.BackendServer `json:"backendServer,omitempty"`
--- a/state/shrecord/summary.go
+++ b/state/shrecord/summary.go
@@ -14,6 +14,7 @@
 	Operation shmodel.OperationKind `json:"operation,omitempty"`
 	Outcome   shmodel.Outcome       `json:"outcome"`
 	Refused   bool                  `json:"refused,omitempty"`
+	Team      string                `json:"team,omitempty"`
 }
 
 // SummaryRow counts the requests of one key. Bytes are those of bodies.
@@ -57,6 +58,7 @@
 	}
 	slices.SortFunc(s.Rows, func(a, b SummaryRow) int {
 		return cmp.Or(
+			cmp.Compare(a.Team, b.Team),
 			cmp.Compare(a.Service, b.Service),
 			cmp.Compare(a.Operation, b.Operation),
 			cmp.Compare(a.Outcome, b.Outcome),
@@ -88,7 +90,7 @@
 }
 
 func rowOf(rows map[SummaryKey]*SummaryRow, l Line) *SummaryRow {
-	key := SummaryKey{Service: l.Service, Operation: l.Operation, Outcome: l.Outcome, Refused: l.Refused}
+	key := SummaryKey{Service: l.Service, Operation: l.Operation, Outcome: l.Outcome, Refused: l.Refused, Team: l.Team}
 	row := rows[key]
 	if row == nil {
 		row = &SummaryRow{SummaryKey: key}
--- a/transport/shaccount/outbox.go
+++ b/transport/shaccount/outbox.go
@@ -221,7 +221,7 @@
 		if err := r.Validate(); err != nil {
 			return 0, &Error{Op: "write", Kind: Invalid, Err: err}
 		}
-		text := len(r.Path) + len(r.Key) + len(r.Caller) + len(r.Reason) + len(r.BackendServer)
+		text := len(r.Path) + len(r.Key) + len(r.Caller) + len(r.Team) + len(r.Reason) + len(r.BackendServer)
 		if text > maxGroupBytes {
 			return 0, &Error{Op: "write", Kind: Invalid, Err: errors.New("record is too large")}
 		}
--- a/transport/shfront/account.go
+++ b/transport/shfront/account.go
@@ -25,7 +25,7 @@
 	}
 	base := shrecord.Record{
 		RequestID: x.recordID, VM: h.Place.VM, At: x.received, Service: x.service, Method: x.request.Method,
-		Path: pathOf(x.request.RequestURI), Key: x.id, FromRegion: h.Place.Region, RequestBytes: int64(len(x.body)),
+		Path: pathOf(x.request.RequestURI), Key: x.id, Team: x.teamName(), FromRegion: h.Place.Region, RequestBytes: int64(len(x.body)),
 	}
 	if x.route != nil {
 		base.Operation = x.route.Kind
--- a/transport/shfront/keys_test.go
+++ b/transport/shfront/keys_test.go
@@ -249,7 +249,6 @@
 	reader := bufio.NewReader(conn)
 	assertShown(t, readAnswer(t, reader), "a")
 	f.setTeams(team("a"))
-	f.atTake = func() {}
 	second := readAnswer(t, reader).StatusCode
 	assert.Assert(t, second == http.StatusUnauthorized || second == http.StatusOK)
 	assert.Equal(t, readAnswer(t, reader).StatusCode, http.StatusUnauthorized)
@@ -327,7 +326,8 @@
 	}
 }
 
-// Guards against keys in logs, metrics and account records.
+// Guards against keys in logs, metrics and account records, and against account
+// records of a team that lack its name.
 func TestKeyIsNotLogged(t *testing.T) {
 	f := newKeyedFixture(t, team("a", secretKey))
 	account := &recordedAccount{}
@@ -336,6 +336,10 @@
 	f.ask(t, idempotent, token)
 	f.ask(t, idempotent, "Authorization: Token "+unknown)
 	f.ask(t, "/nowhere", token)
+	for i, r := range account.records {
+		known := r.Kind == shrecord.Opened || r.Kind == shrecord.Closed
+		assert.Equal(t, r.Team == "a", known, "record %d: %+v", i, r)
+	}
 	f.atTake = func() { f.setTeams(team("a")) }
 	f.ask(t, idempotent, token)
 	written := f.log.String() + writtenMetrics(f.handler) + fmt.Sprintf("%+v", account.records)
--- a/transport/shfront/report.go
+++ b/transport/shfront/report.go
@@ -12,7 +12,7 @@
 // logAttempt logs and counts an attempt without an answer for the caller.
 func (x *exchange) logAttempt(c shbalance.Choice, result string, err error) {
 	attrs := []any{
-		"request", x.id, "route", x.route.Name, "service", x.service, "backend", c.Backend.ID,
+		"request", x.id, "route", x.route.Name, "team", x.teamName(), "service", x.service, "backend", c.Backend.ID,
 		"address", c.Backend.Address, "zone", c.Backend.Zone, "attempt", len(x.tried), "result", result,
 		"load", c.Load, "warm", c.Warm, "estimateMs", c.Estimate.Milliseconds(),
 		"elapsedMs", time.Since(x.received).Milliseconds(), "index", x.view.Index,
@@ -46,7 +46,7 @@
 		route, priority = x.route.Name, x.priority()
 	}
 	attrs := []any{
-		"request", x.id, "route", route, "priority", priority, "service", x.service, "outcome", outcome, "status", status, "reason", reason,
+		"request", x.id, "route", route, "team", x.teamName(), "priority", priority, "service", x.service, "outcome", outcome, "status", status, "reason", reason,
 		"attempts", len(x.tried), "mayHaveRun", x.mayHaveRun, "tookMs", took.Milliseconds(),
 		"version", x.view.Version, "index", x.view.Index,
 	}
--- a/transport/shfront/team.go
+++ b/transport/shfront/team.go
@@ -180,6 +180,14 @@
 	return x.route.Priority
 }
 
+// teamName returns the name of the team of the request, "" if it has none.
+func (x *exchange) teamName() string {
+	if x.team == nil {
+		return ""
+	}
+	return x.team.Name
+}
+
 // teamRegions returns the regions to which the team of the request is bound.
 func (x *exchange) teamRegions() []shmodel.Region {
 	if x.team == nil {
--- a/transport/shwatch/permission.go
+++ b/transport/shwatch/permission.go
@@ -88,10 +88,15 @@
 // answer was confirmed recently and is what the view now reflects. It is called after
 // the view was stored.
 func (w *Watcher) renewPermission(sentAt time.Duration, confirmed *shfleet.Millis, c shfleet.Change) {
-	if confirmed == nil || w.View().Index != c.To {
+	if w.RevokeWithin <= 0 {
 		return
 	}
-	if confirmed.Duration() <= share(w.RevokeWithin, confirmationShare) {
+	renewed := confirmed != nil && w.View().Index == c.To && confirmed.Duration() <= share(w.RevokeWithin, confirmationShare)
+	if renewed {
 		w.permission.Store(int64(sentAt))
 	}
+	if renewed == w.notRenewed {
+		w.notRenewed = !renewed
+		w.Logger.Info("permission to accept keys", "renewed", renewed, "confirmed", confirmed, "index", c.To, "viewIndex", w.View().Index)
+	}
 }
--- a/transport/shwatch/permission_test.go
+++ b/transport/shwatch/permission_test.go
@@ -1,6 +1,7 @@
 package shwatch
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 
 func newKeyedWatcher(t *testing.T) *Watcher {
 	t.Helper()
-	w := &Watcher{RevokeWithin: revokeWithin}
+	w := &Watcher{RevokeWithin: revokeWithin, Logger: slog.New(slog.DiscardHandler)}
 	table := shfleet.NewRouteIndex(shfleet.Table{Teams: []shfleet.Team{{Name: "a"}}})
 	w.view.Store(&shfleet.View{Index: 7, Table: table})
 	return w
--- a/transport/shwatch/shwatch.go
+++ b/transport/shwatch/shwatch.go
@@ -61,6 +61,7 @@
 	view             atomic.Pointer[shfleet.View]
 	lastAnswer       atomic.Pointer[time.Time] // nil before the first
 	permission       atomic.Int64              // see permittedSince
+	notRenewed       bool                      // the last answer did not renew it
 	mu               sync.Mutex
 	controlAddresses []string
 	cancel           context.CancelFunc // ends the call in progress
