--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -76,6 +76,9 @@
 	go e.account.run(background)
 	go e.sendReports(background)
 	go e.pruneConnections(background)
+	if s.ShareKeyHomes {
+		go e.shareHomes(background)
+	}
 	go e.reload(background, options)
 	if err := e.serve(handler, options); err != nil {
 		return errors.Join(err, e.close())
@@ -91,12 +94,14 @@
 	return errors.Join(failure, e.account.close(), e.close())
 }
 
-func (e *Entry) serve(handler http.Handler, options EntryOptions) error {
+func (e *Entry) serve(handler *shfront.Handler, options EntryOptions) error {
+	if _, err := e.listenOverlapping(e.Settings.EntryAddress, handler, handler.MayOverlap); err != nil {
+		return err
+	}
 	for _, x := range []struct {
 		address string
 		handler http.Handler
 	}{
-		{e.Settings.EntryAddress, handler},
 		{e.Settings.ReadinessAddress, options.Readiness(e)},
 		{e.Settings.DirectoryAddress, options.Directory(e)},
 	} {
