--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -45,6 +45,12 @@
 	RetryShare         float64 `json:"retryShare"`
 	RetrySlack         float64 `json:"retrySlack"`
 	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
+	// QuotaWindowSeconds, QuotaOver and QuotaSlack say how allowances of teams are
+	// measured: in any window, at most (rate × window + burst) × (1 + QuotaOver) +
+	// QuotaSlack requests of a team may run. With a window of zero no allowance is kept.
+	QuotaWindowSeconds float64 `json:"quotaWindowSeconds"`
+	QuotaOver          float64 `json:"quotaOver"`
+	QuotaSlack         float64 `json:"quotaSlack"`
 }
 
 // LoadFleet reads and checks a file of fleet settings. The error is an *Error;
@@ -110,6 +116,7 @@
 	}
 	for name, value := range map[string]float64{
 		"retryShare": f.RetryShare, "retrySlack": f.RetrySlack, "retryWindowSeconds": f.RetryWindowSeconds,
+		"quotaWindowSeconds": f.QuotaWindowSeconds, "quotaOver": f.QuotaOver, "quotaSlack": f.QuotaSlack,
 	} {
 		if value < 0 {
 			report(name, "%v is negative", value)
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -10,6 +10,7 @@
 
 	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shquota"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shorigin"
 )
@@ -27,6 +28,7 @@
 	view     *shfleet.View
 	route    *shfleet.Route
 	team     *shfleet.Team // nil if the table has no teams or the route is public
+	tickets  []shquota.Ticket
 	service  shmodel.Service
 	key      string
 	digest   shmodel.Digest
@@ -283,6 +285,8 @@
 		return "no time left"
 	case x.reached > 0 && !x.handler.spendRetry(x.service, time.Now()):
 		return "retry budget used up"
+	case !x.takeAgain():
+		return "allowance used up"
 	}
 	return ""
 }
--- a/transport/shfront/report.go
+++ b/transport/shfront/report.go
@@ -40,6 +40,9 @@
 
 // finish logs, counts and records a request without a delivered answer.
 func (x *exchange) finish(outcome string, status int, reason string) {
+	if outcome != outcomeCanceled {
+		x.returnTickets()
+	}
 	took := time.Since(x.received)
 	route := ""
 	if x.route != nil {
--- a/transport/shfront/team.go
+++ b/transport/shfront/team.go
@@ -1,20 +1,23 @@
 package shfront
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shquota"
 	"sequoiahollow/state/shmodel"
 )
 
 // Allowance bounds the requests of teams over all entry VMs.
 type Allowance interface {
-	// Take takes one request of a team from its allowance. If none is left it returns
-	// false and the time after which there is room again.
-	Take(r *http.Request, team *shfleet.Team) (ok bool, retryAfter time.Duration)
-	// Return gives back a request that certainly did not run.
-	Return(team *shfleet.Team)
+	// Take takes one request of a team from its allowance, for which it may wait a
+	// moment. If none is left it returns false and the time after which there is room
+	// again.
+	Take(ctx context.Context, team *shfleet.Team) (t shquota.Ticket, ok bool, retryAfter time.Duration)
+	// Return gives back the ticket of a request that certainly did not run.
+	Return(t shquota.Ticket)
 }
 
 // staleKeysRetryAfter is the Retry-After while the VM does not know whether keys have
@@ -40,16 +43,45 @@
 		}
 		return true
 	}
-	if h.Allowance == nil || x.team.Rate <= 0 {
-		return true
-	}
-	ok, after := h.Allowance.Take(x.request, x.team)
+	ok, after := x.takeTicket()
 	if !ok {
 		x.refuseWith(http.StatusTooManyRequests, "allowance of team "+x.team.Name+" used up", after)
 	}
 	return ok
 }
 
+// takeTicket takes one request from the allowance of the team.
+func (x *exchange) takeTicket() (ok bool, retryAfter time.Duration) {
+	h := x.handler
+	if h.Allowance == nil || x.team == nil || x.team.Rate <= 0 {
+		return true, 0
+	}
+	t, ok, after := h.Allowance.Take(x.request.Context(), x.team)
+	if ok {
+		x.tickets = append(x.tickets, t)
+	}
+	return ok, after
+}
+
+// takeAgain takes a further request from the allowance if each one taken so far may
+// have run. It reports whether the next attempt is covered.
+func (x *exchange) takeAgain() bool {
+	if len(x.tickets) > x.mayHaveRun || len(x.tickets) == 0 {
+		return true
+	}
+	ok, _ := x.takeTicket()
+	return ok
+}
+
+// returnTickets gives back what was taken for attempts that certainly did not run.
+func (x *exchange) returnTickets() {
+	for len(x.tickets) > x.mayHaveRun {
+		last := len(x.tickets) - 1
+		x.handler.Allowance.Return(x.tickets[last])
+		x.tickets = x.tickets[:last]
+	}
+}
+
 // keysCurrent reports whether the keys of the view may still be accepted.
 func (x *exchange) keysCurrent() bool {
 	h := x.handler
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -52,6 +52,8 @@
 	// reportedCrashes is kept in the memory of the leader only.
 	reportedCrashes map[reportedCrash]bool
 
+	allowances allowances
+
 	packer changePacker
 }
 
@@ -170,6 +172,7 @@
 		r.leaderSince = time.Now()
 		clear(r.lastHeartbeat)
 		clear(r.lastWatch)
+		r.allowances = allowances{}
 	}
 }
 
@@ -403,6 +406,9 @@
 		return ranges, err
 	})
 	shpeer.Handle(r.config.Server, MethodWatch, r.watch)
+	if r.config.Quota.Enabled() {
+		shpeer.Handle(r.config.Server, MethodAllowance, r.allowance)
+	}
 }
 
 // reserve handles MethodReserve: it reserves a range of account record numbers.
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shquota"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shlog"
 	"sequoiahollow/transport/shpeer"
@@ -93,6 +94,8 @@
 	MethodReserve = "fleet.reserve"
 	// MethodWatch takes a WatchRequest and returns a WatchResponse.
 	MethodWatch = "fleet.watch"
+	// MethodAllowance takes a shquota.Ask and returns a shquota.Answer.
+	MethodAllowance = "fleet.allowance"
 )
 
 // Config configures a Registry.
@@ -114,8 +117,11 @@
 	// BackendTimeout is how long a backend server without a heartbeat stays listed;
 	// zero means DefaultBackendTimeout.
 	BackendTimeout time.Duration
-	FS             shlog.FS
-	Logger         *slog.Logger
+	// Quota says how the allowances of teams are measured. With the zero value none
+	// are kept.
+	Quota  shquota.Rules
+	FS     shlog.FS
+	Logger *slog.Logger
 }
 
 // Announcement is what a backend server reports about itself.
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -69,7 +69,10 @@
 	if _, err := c.listen(c.Settings.ControlAddress, options.Control(c)); err != nil {
 		return err
 	}
-	return c.listenMetrics(options.Metrics.Address, options.Metrics.Path, c.serveAccount)
+	return c.listenMetrics(options.Metrics.Address, options.Metrics.Path, func(mux *http.ServeMux) {
+		c.serveAccount(mux)
+		c.serveAllowances(mux)
+	})
 }
 
 // keepRegistryOpen keeps the registry open until ctx ends. A registry whose store
@@ -83,6 +86,7 @@
 			Voters: 2*c.Settings.TolerateLosses + 1, Bootstrap: c.Settings.Bootstrap,
 			Folder:         filepath.Join(c.Settings.DataFolder, "fleet"),
 			BackendTimeout: missedHeartbeatLimit * shsettings.Seconds(c.Settings.HeartbeatSeconds),
+			Quota:          quotaRules(c.Settings),
 			Client:         c.client, Server: c.server, Logger: c.Log,
 		})
 		if err != nil {
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -72,6 +72,7 @@
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	e.keepAllowances(background, handler)
 	go e.watcher.Run(background)
 	go e.account.run(background)
 	go e.sendReports(background)
--- a/transport/shwatch/shwatch.go
+++ b/transport/shwatch/shwatch.go
@@ -49,6 +49,7 @@
 
 	watchFinder      shleader.Finder // for the watch call, which has a longer timeout
 	finder           shleader.Finder
+	allowanceFinder  shleader.Finder // for asks, which have a shorter timeout
 	view             atomic.Pointer[shfleet.View]
 	lastAnswer       atomic.Pointer[time.Time] // nil before the first
 	mu               sync.Mutex
@@ -78,6 +79,7 @@
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	w.watchFinder.CallTimeout = shregistry.LongPollTimeout + answerMargin
+	w.allowanceFinder.CallTimeout = askCallTimeout
 	for ctx.Err() == nil {
 		w.poll(ctx)
 	}
