Give tokens back only as far as the bucket would still hold them

A bucket that counted only what spilled took back too much: refills that fit because tokens were out do not spill. TestHeldTokens with rate 300, burst 0 showed 0 requests left of the reserve of 25.

--- a/coordination/shquota/account.go
+++ b/coordination/shquota/account.go
@@ -87,7 +87,7 @@
 	answered   time.Time
 	emptyUntil time.Time
 	unused     int
-	stamp      float64
+	stamp      uint64
 }
 
 // lot is the tokens of one grant.
@@ -95,7 +95,7 @@
 	tokens int
 	until  time.Time
 	leader uint64
-	stamp  float64
+	stamp  uint64
 }
 
 // Request is a request that needs a token.
@@ -128,7 +128,7 @@
 type Ticket struct {
 	lot   *lot
 	spare *bucket
-	stamp float64
+	stamp uint64
 }
 
 // Update sets the allowances of the teams that have one and the VMs that are entry
@@ -197,9 +197,11 @@
 	}
 	waited := now.Sub(r.At)
 	h.spare.refill(now)
-	if (a.cut || waited >= spareAfter) && h.spare.take(1) == 1 {
-		a.stats.Spare++
-		return Passed{Ticket{spare: &h.spare, stamp: h.spare.spilled}}
+	if a.cut || waited >= spareAfter {
+		if n, stamp := h.spare.take(now, 1); n == 1 {
+			a.stats.Spare++
+			return Passed{Ticket{spare: &h.spare, stamp: stamp}}
+		}
 	}
 	covered := !h.answered.Before(r.At)
 	until := h.emptyUntil.Sub(now)
--- a/coordination/shquota/fleet_test.go
+++ b/coordination/shquota/fleet_test.go
@@ -24,6 +24,8 @@
 	limits  map[string]shquota.Limit
 	line    []message
 	passed  map[string][]*pass
+	// greedy makes each ask one for all tokens that there are.
+	greedy bool
 }
 
 // entry is an entry VM.
@@ -44,6 +46,7 @@
 // pass is a request that passed.
 type pass struct {
 	at       time.Time
+	by       *shquota.Account
 	ticket   shquota.Ticket
 	returned bool
 }
@@ -106,7 +109,7 @@
 func (f *fleet) take(x *entry, r *shquota.Request) {
 	switch d := x.account.Take(f.now, r).(type) {
 	case shquota.Passed:
-		f.passed[r.Team] = append(f.passed[r.Team], &pass{at: f.now, ticket: d.Ticket})
+		f.passed[r.Team] = append(f.passed[r.Team], &pass{at: f.now, by: x.account, ticket: d.Ticket})
 	case shquota.Waiting:
 		x.waiting = append(x.waiting, r)
 	}
@@ -140,6 +143,11 @@
 		}
 		if ask, _, due := x.account.NextAsk(f.now); due {
 			x.asks++
+			for i := range ask.Wants {
+				if f.greedy {
+					ask.Wants[i].Ahead = 1 << 20
+				}
+			}
 			f.ask(x, ask, delay)
 		}
 	}
--- a/coordination/shquota/leader.go
+++ b/coordination/shquota/leader.go
@@ -113,18 +113,19 @@
 }
 
 func (t *teamBucket) grant(now time.Time, window time.Duration, vm shmodel.VM, w Want) Grant {
-	g := Grant{Team: w.Team, Stamp: t.spilled}
+	g := Grant{Team: w.Team}
 	if w.Waiting <= 0 && w.Ahead <= 0 {
 		return g
 	}
 	waiting, ahead := max(w.Waiting, 0), max(w.Ahead, 0)
 	maps.DeleteFunc(t.contenders, func(_ shmodel.VM, at time.Time) bool { return now.Sub(at) > contenderAge })
 	t.contenders[vm] = now
-	g.Tokens = t.take(waiting)
+	g.Tokens, g.Stamp = t.take(now, waiting)
 	if len(t.contenders) > 1 {
 		ahead = min(ahead, int(math.Ceil(t.level/2)))
 	}
-	g.Tokens += t.take(ahead)
+	more, _ := t.take(now, ahead)
+	g.Tokens += more
 	t.issued += uint64(g.Tokens)
 	t.rollWindow(now, window)
 	t.inWindow += float64(g.Tokens)
--- a/coordination/shquota/rule_test.go
+++ b/coordination/shquota/rule_test.go
@@ -1,9 +1,12 @@
 package shquota_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"sequoiahollow/coordination/shquota"
@@ -19,86 +22,164 @@
 	limit shquota.Limit
 }
 
-// Guards against requests beyond an allowance by any course of demand, lost and late
-// messages, changes of the leader, cuts, freezes and restarts of entry VMs, changes of
-// the table and returned tickets.
-func TestRule(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		drawLimit := func(name string) shquota.Limit {
-			return shquota.Limit{
-				Rate:  rapid.SampledFrom([]float64{0.5, 4, 30, 300}).Draw(t, name+" rate"),
-				Burst: rapid.SampledFrom([]float64{0, 5, 300}).Draw(t, name+" burst"),
-			}
+// course is a fleet with one team whose events rapid draws.
+type course struct {
+	*fleet
+	t       *rapid.T
+	random  *rand.Rand
+	changes []change
+	// flow is the number of requests in a step, lossy the share of lost messages.
+	flow      int
+	lossy     float64
+	processes uint64
+}
+
+func (c *course) drawLimit() shquota.Limit {
+	return shquota.Limit{
+		Rate:  rapid.SampledFrom([]float64{300, 30, 4, 0.5}).Draw(c.t, "rate"),
+		Burst: rapid.SampledFrom([]float64{300, 5, 0}).Draw(c.t, "burst"),
+	}
+}
+
+func (c *course) drawFlow() {
+	c.flow = rapid.SampledFrom([]int{400, 40, 4, 1, 0}).Draw(c.t, "flow")
+	c.greedy = rapid.Bool().Draw(c.t, "greedy")
+}
+
+func (c *course) delay() time.Duration {
+	if c.random.Float64() < c.lossy {
+		return -1
+	}
+	if c.t == nil {
+		return step / 2
+	}
+	return time.Duration(c.random.IntN(4)) * step * time.Duration(1+c.random.IntN(20)/19*10)
+}
+
+// advanceBy lets steps pass with the current flow.
+func (c *course) advanceBy(steps int) {
+	for range steps {
+		for range c.flow {
+			c.arrive(c.random.IntN(len(c.entries)), "a")
 		}
-		changes := []change{{start, drawLimit("first")}}
-		f := newFleet(rapid.SampledFrom([]int{1, 3, 9, 40}).Draw(t, "size"), map[string]shquota.Limit{"a": changes[0].limit})
-		flow := rapid.SampledFrom([]int{0, 1, 3, 20}).Draw(t, "flow")
-		processes := uint64(1)
-		delay := func() time.Duration {
-			return time.Duration(rapid.SampledFrom([]int{0, 0, 20, 20, 20, 200, -1}).Draw(t, "delay")) * time.Millisecond
+		c.advance(c.delay)
+	}
+}
+
+// event draws one event and brings it about.
+func (c *course) event() {
+	i := c.random.IntN(len(c.entries))
+	x := c.entries[i]
+	switch rapid.IntRange(0, 9).Draw(c.t, "event") {
+	case 0:
+		c.drawFlow()
+	case 1:
+		for range rapid.IntRange(1, 2000).Draw(c.t, "burst") {
+			c.arrive(i, "a")
 		}
-		steps := rapid.IntRange(1, 500).Draw(t, "steps")
-		for range steps {
-			i := rapid.IntRange(0, len(f.entries)-1).Draw(t, "vm")
-			x := f.entries[i]
-			for range flow {
-				f.arrive(rapid.IntRange(0, len(f.entries)-1).Draw(t, "arrival"), "a")
-			}
-			switch rapid.IntRange(0, 60).Draw(t, "event") {
-			case 0:
-				for range rapid.IntRange(1, 600).Draw(t, "burst") {
-					f.arrive(i, "a")
-				}
-			case 1:
-				f.leader = nil
-			case 2:
-				f.elect()
-			case 3:
-				x.cut = true
-			case 4:
-				x.cut = false
-				f.update(i)
-			case 5:
-				x.frozenUntil = f.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "freeze")) * time.Millisecond)
-			case 6:
-				processes++
-				x.account, x.waiting = newAccount(i, processes), nil
-				f.update(i)
-			case 7:
-				for _, y := range f.entries {
-					y.cut = false
-				}
-				changes = append(changes, change{f.now, drawLimit("next")})
-				f.setLimits(map[string]shquota.Limit{"a": changes[len(changes)-1].limit})
-			case 8:
-				giveBack(f, x)
-			case 9:
-				flow = rapid.SampledFrom([]int{0, 1, 3, 20}).Draw(t, "flow")
-			}
-			f.advance(delay)
+	case 2:
+		c.leader = nil
+	case 3:
+		c.elect()
+	case 4:
+		for _, y := range c.entries {
+			y.cut = c.random.IntN(2) == 0
 		}
-		over := f.busiest("a", func(from, to time.Time) float64 {
-			most := 0.0
-			for i, c := range changes {
-				if !c.at.After(to) && (i+1 == len(changes) || changes[i+1].at.After(from.Add(-lowering))) {
-					most = max(most, rules.Most(c.limit))
-				}
-			}
-			return most
-		})
-		if over > 0 {
-			t.Fatalf("%v requests more in a window than permitted", over)
+	case 5:
+		for j, y := range c.entries {
+			y.cut = false
+			c.update(j)
 		}
-	})
+	case 6:
+		for _, y := range c.entries {
+			y.frozenUntil = c.now.Add(time.Duration(c.random.IntN(3000)) * time.Millisecond)
+		}
+	case 7:
+		c.processes++
+		x.account, x.waiting, x.cut = newAccount(i, c.processes), nil, false
+		c.update(i)
+	case 8:
+		c.changes = append(c.changes, change{c.now, c.drawLimit()})
+		for _, y := range c.entries {
+			y.cut = false
+		}
+		c.setLimits(map[string]shquota.Limit{"a": c.changes[len(c.changes)-1].limit})
+	case 9:
+		c.giveBack(rapid.IntRange(1, 500).Draw(c.t, "returned"))
+	}
 }
 
-// giveBack returns the tickets of an entry VM's last requests.
-func giveBack(f *fleet, x *entry) {
-	passed := f.passed["a"]
-	for _, p := range passed[max(len(passed)-20, 0):] {
+// giveBack returns the tickets of the last n requests.
+func (c *course) giveBack(n int) {
+	passed := c.passed["a"]
+	for _, p := range passed[max(len(passed)-n, 0):] {
 		if !p.returned {
 			p.returned = true
-			x.account.Return(f.now, p.ticket)
+			p.by.Return(c.now, p.ticket)
+		}
+	}
+}
+
+// most returns what may run in a window by the limits in force.
+func (c *course) most(from, to time.Time) float64 {
+	most := 0.0
+	for i, x := range c.changes {
+		if !x.at.After(to) && (i+1 == len(c.changes) || c.changes[i+1].at.After(from.Add(-lowering))) {
+			most = max(most, rules.Most(x.limit))
+		}
+	}
+	return most
+}
+
+// Guards against requests beyond an allowance when entry VMs hold tokens of a full
+// bucket until they expire, or longer if they can, use them all with those of the next
+// window, and are then cut off.
+func TestHeldTokens(t *testing.T) {
+	for _, limit := range []shquota.Limit{{Rate: 300, Burst: 300}, {Rate: 300}, {Rate: 10, Burst: 10}, {Rate: 0.2, Burst: 1}} {
+		for _, lives := range []int{1, 3} {
+			t.Run(fmt.Sprint(limit, lives), func(t *testing.T) { assertHeldTokens(t, 34, limit, lives) })
 		}
+		t.Run(fmt.Sprint(limit, "few VMs"), func(t *testing.T) { assertHeldTokens(t, 7, limit, 1) })
+	}
+	t.Run("many VMs", func(t *testing.T) { assertHeldTokens(t, 300, shquota.Limit{Rate: 10, Burst: 10}, 1) })
+}
+
+func assertHeldTokens(t *testing.T, size int, limit shquota.Limit, lives int) {
+	t.Helper()
+	c := &course{random: rand.New(rand.NewPCG(1, 0)), changes: []change{{start, limit}}}
+	c.fleet = newFleet(size, map[string]shquota.Limit{"a": limit})
+	c.advanceBy(int(20 * time.Second / step))
+	c.greedy, c.flow = true, 1
+	c.advanceBy(lives*int(rules.Plan(limit).TokenLife/step) - 4)
+	c.greedy, c.flow = false, 10*size
+	c.advanceBy(int(rules.Window/step) - 5)
+	for _, x := range c.entries {
+		x.cut = true
 	}
+	c.advanceBy(int(rules.Window / step / 2))
+	over := c.busiest("a", c.most)
+	assert.Assert(t, over <= 0)
+	t.Logf("%.0f below the %.0f permitted in a window", -over, rules.Most(limit))
+}
+
+// Guards against requests beyond an allowance by any course of demand, lost and late
+// messages, changes of the leader, cuts, freezes and restarts of entry VMs, changes of
+// the table and returned tickets.
+func TestRule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &course{t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "random"), 0)), processes: 1}
+		c.changes = []change{{start, c.drawLimit()}}
+		size := rapid.SampledFrom([]int{9, 40, 3, 1}).Draw(t, "size")
+		c.fleet = newFleet(size, map[string]shquota.Limit{"a": c.changes[0].limit})
+		c.lossy = rapid.SampledFrom([]float64{0, 0.02, 0.5}).Draw(t, "lossy")
+		c.drawFlow()
+		for range rapid.IntRange(0, 10).Draw(t, "events") {
+			c.advanceBy(rapid.SampledFrom([]int{15, 25, 3, 1, 100, 250}).Draw(t, "steps"))
+			c.event()
+		}
+		c.advanceBy(300)
+		if over := c.busiest("a", c.most); over > 0 {
+			t.Fatalf("%v requests more in a window than permitted", over)
+		}
+	})
 }
--- a/coordination/shquota/shquota.go
+++ b/coordination/shquota/shquota.go
@@ -131,8 +131,8 @@
 	// Refused is the number of requests that the entry VM refused since its last ask.
 	Refused int `json:"refused,omitempty"`
 	// Unused is the number of tokens given back, the oldest of them with Stamp.
-	Unused int     `json:"unused,omitempty"`
-	Stamp  float64 `json:"stamp,omitempty"`
+	Unused int    `json:"unused,omitempty"`
+	Stamp  uint64 `json:"stamp,omitempty"`
 }
 
 // Answer is the answer of the leader to an Ask.
@@ -146,9 +146,9 @@
 type Grant struct {
 	Team   string `json:"team"`
 	Tokens int    `json:"tokens,omitempty"`
-	// Stamp is the state of the leader's bucket that decides whether a token given
-	// back still fits into it.
-	Stamp float64 `json:"stamp,omitempty"`
+	// Stamp tells when the tokens were taken from the leader's bucket, which decides
+	// whether one given back still fits into it.
+	Stamp uint64 `json:"stamp,omitempty"`
 	// WaitMS is set if Tokens is less than asked for: the milliseconds until the bucket
 	// has room for the requests that were refused before this one.
 	WaitMS int64 `json:"waitMs,omitempty"`
--- a/transport/shregistry/registry_test.go
+++ b/transport/shregistry/registry_test.go
@@ -47,7 +47,7 @@
 }
 
 // startGroup starts five control VMs, of which three are seeds.
-func startGroup(t *testing.T) []*vm {
+func startGroup(t *testing.T, options ...func(*shregistry.Config)) []*vm {
 	t.Helper()
 	var vms []*vm
 	var seeds []string
@@ -67,6 +67,9 @@
 	}
 	for _, v := range vms {
 		v.config.Seeds = seeds
+		for _, set := range options {
+			set(&v.config)
+		}
 		v.start(t)
 		t.Cleanup(v.stop)
 	}
