--- a/transport/shfront/team.go
+++ b/transport/shfront/team.go
@@ -1,6 +1,7 @@
 package shfront
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -8,17 +9,19 @@
 
 	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shquota"
 	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 )
 
 // Allowance bounds the requests of teams over all entry VMs.
 type Allowance interface {
-	// Take takes one request of a team from its allowance. If none is left it returns
-	// false and the time after which there is room again.
-	Take(r *http.Request, team *shfleet.Team) (ok bool, retryAfter time.Duration)
-	// Return gives back a request that certainly did not run.
-	Return(team *shfleet.Team)
+	// Take takes one request of a team from its allowance, for which it may wait a
+	// moment. If none is left it returns false and the time after which there is room
+	// again.
+	Take(ctx context.Context, team *shfleet.Team) (t shquota.Ticket, ok bool, retryAfter time.Duration)
+	// Return gives back the ticket of a request that certainly did not run.
+	Return(t shquota.Ticket)
 }
 
 // staleKeysRetryAfter is the Retry-After while the VM does not know whether keys have
@@ -58,11 +61,7 @@
 }
 
 func (x *exchange) takeAllowance() bool {
-	h := x.handler
-	if x.team == nil || h.Allowance == nil || x.team.Rate <= 0 {
-		return true
-	}
-	ok, after := h.Allowance.Take(x.request, x.team)
+	ok, after := x.takeTicket()
 	if !ok {
 		x.refuseWith(http.StatusTooManyRequests, "allowance of team "+x.team.Name+" used up", after)
 	}
@@ -116,6 +115,38 @@
 	}
 }
 
+// takeTicket takes one request from the allowance of the team.
+func (x *exchange) takeTicket() (ok bool, retryAfter time.Duration) {
+	h := x.handler
+	if h.Allowance == nil || x.team == nil || x.team.Rate <= 0 {
+		return true, 0
+	}
+	t, ok, after := h.Allowance.Take(x.request.Context(), x.team)
+	if ok {
+		x.tickets = append(x.tickets, t)
+	}
+	return ok, after
+}
+
+// takeAgain takes a further request from the allowance if each one taken so far may
+// have run. It reports whether the next attempt is covered.
+func (x *exchange) takeAgain() bool {
+	if len(x.tickets) > x.mayHaveRun || len(x.tickets) == 0 {
+		return true
+	}
+	ok, _ := x.takeTicket()
+	return ok
+}
+
+// returnTickets gives back what was taken for attempts that certainly did not run.
+func (x *exchange) returnTickets() {
+	for len(x.tickets) > x.mayHaveRun {
+		last := len(x.tickets) - 1
+		x.handler.Allowance.Return(x.tickets[last])
+		x.tickets = x.tickets[:last]
+	}
+}
+
 // mayStillRun reports whether a request that was accepted may still be sent: its key
 // may have been taken away or given to another team since, or the VM may not know.
 func (x *exchange) mayStillRun(clock shclock.Func) bool {
@@ -152,7 +183,7 @@
 		x.route = r
 	}
 	if x.mayHaveRun == 0 {
-		x.returnAllowance()
+		x.returnTickets()
 		return x.authorize()
 	}
 	team, refusal := x.checkKey(x.view.Table, x.keysUntil, x.now)
@@ -164,13 +195,6 @@
 	return true
 }
 
-// returnAllowance gives a request that has not run back to the allowance of its team.
-func (x *exchange) returnAllowance() {
-	if a := x.handler.Allowance; a != nil && x.team != nil && x.team.Rate > 0 {
-		a.Return(x.team)
-	}
-}
-
 // priority returns the rank of the request, 0 for the highest. That of the team goes
 // before that of the route.
 func (x *exchange) priority() int {
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shquota"
 	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shlog"
@@ -96,6 +97,8 @@
 	MethodWatch = "fleet.watch"
 	// MethodHomes takes a HomesRequest and returns a HomesResponse.
 	MethodHomes = "fleet.homes"
+	// MethodAllowance takes a shquota.Ask and returns a shquota.Answer.
+	MethodAllowance = "fleet.allowance"
 )
 
 // Config configures a Registry.
@@ -120,8 +123,11 @@
 	// Suspensions tells for how long the VM has run without a suspension; nil uses
 	// the clocks of the system.
 	Suspensions *shclock.Suspensions
-	FS          shlog.FS
-	Logger      *slog.Logger
+	// Quota says how the allowances of teams are measured. With the zero value none
+	// are kept.
+	Quota  shquota.Rules
+	FS     shlog.FS
+	Logger *slog.Logger
 }
 
 // Announcement is what a backend server reports about itself.
