--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -55,6 +55,12 @@
 	// RevokeSeconds is the time after the acknowledgement of a routing table within
 	// which keys that it took away stop everywhere; zero for no bound.
 	RevokeSeconds float64 `json:"revokeSeconds"`
+	// QuotaWindowSeconds, QuotaOver and QuotaSlack say how allowances of teams are
+	// measured: in any window, at most (rate × window + burst) × (1 + QuotaOver) +
+	// QuotaSlack requests of a team may run. With a window of zero no allowance is kept.
+	QuotaWindowSeconds float64 `json:"quotaWindowSeconds"`
+	QuotaOver          float64 `json:"quotaOver"`
+	QuotaSlack         float64 `json:"quotaSlack"`
 }
 
 // MaxRepeatShare is the largest RepeatShare: the share of retries that the example
@@ -133,7 +139,8 @@
 func (f Fleet) validateRepeats(report func(field, format string, args ...any)) {
 	for name, value := range map[string]float64{
 		"retryShare": f.RetryShare, "retrySlack": f.RetrySlack, "retryWindowSeconds": f.RetryWindowSeconds,
-		"revokeSeconds": f.RevokeSeconds,
+		"revokeSeconds":      f.RevokeSeconds,
+		"quotaWindowSeconds": f.QuotaWindowSeconds, "quotaOver": f.QuotaOver, "quotaSlack": f.QuotaSlack,
 	} {
 		if value < 0 {
 			report(name, "%v is negative", value)
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -55,6 +55,8 @@
 	reportedCrashes map[reportedCrash]bool
 	homes           shhome.Table
 
+	allowances allowances
+
 	packer changePacker
 }
 
@@ -179,6 +181,7 @@
 		clear(r.lastHeartbeat)
 		clear(r.lastWatch)
 		r.homes = shhome.Table{}
+		r.allowances = allowances{}
 	}
 }
 
@@ -413,6 +416,9 @@
 	})
 	shpeer.Handle(r.config.Server, MethodWatch, r.watch)
 	shpeer.Handle(r.config.Server, MethodHomes, r.shareHomes)
+	if r.config.Quota.Enabled() {
+		shpeer.Handle(r.config.Server, MethodAllowance, r.allowance)
+	}
 }
 
 // reserve handles MethodReserve: it reserves a range of account record numbers.
