Explain where a request would go, by a command

Cause: nobody can ask an entry VM why a request goes to a backend server, or why another one gets none. The command place asks GET /place at the metrics address. The balancer runs its choice on a copy of the state, and names the rule that excludes each other backend server; the choice itself uses these rules, so that the two can't differ. Ruled out: a flag in Pick that suppresses changes of state, a dry run in the command; see docs/design/place.md.

--- a/cmd/sequoiahollow/main.go
+++ b/cmd/sequoiahollow/main.go
@@ -45,6 +45,7 @@
 	Lookup  lookupCommand  `cmd:"" help:"Ask an entry VM which entry VMs to use for a service."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 
+	Place    placeCommand     `cmd:"" help:"Print where an entry VM of a fleet would send a request now, and why."`
 	Explain  explainCommand   `cmd:"" help:"Print what happened to one request, from the logs of the processes."`
 	Platform platform.Command `cmd:"" help:"Run a role on the platform."`
 }
--- a/cmd/sequoiahollow/main_test.go
+++ b/cmd/sequoiahollow/main_test.go
@@ -44,6 +44,7 @@
 		"serve --settings absent":            exitUsage,
 		"config check absent":                exitUsage,
 		"config show":                        exitUsage,
+		"place --entry nowhere --host shop":  exitUsage,
 		"config show --operator 127.0.0.1:1": exitUsage,
 		"config show --operator nowhere --token-file " + token:                      exitUsage,
 		"config show --operator 127.0.0.1:1 --token-file absent":                    exitUsage,
--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -161,7 +161,7 @@
 		c, warm := b.estimate(now, n, t, r, k, p)
 		if fit := c.fit(now, n, r, t, warm, utilization); fit != eligible {
 			refusal.add(c, warm)
-			if fit == tooSlow {
+			if fit == ExcludedTooSlow {
 				probe = leastLoaded(probe, &c)
 			}
 			continue
@@ -206,43 +206,38 @@
 	f.Soonest = Estimate{Backend: c.Backend.ID, Load: c.Load, Wait: wait, Warm: warm, RoundTrip: c.roundTrip}
 }
 
-// fit says whether a request may go to a backend server.
-type fit int
-
-const (
-	eligible fit = iota
-	// busy means that load prevents it, of the backend server or of the service.
-	busy
-	// tooSlow means that a slot is free and only learned times prevent it.
-	tooSlow
-)
-
 // fit returns whether a request may go to a backend server, by the load of the
 // backend server, the utilization of the service, and the learned times. A cold run
 // takes as long as several warm ones, so at high utilization only primaries get cold
 // runs. At still higher utilization requests whose answers would be late are
 // refused, since they would delay others.
-func (c Choice) fit(now time.Time, n *backendState, r Request, t *routeTimes, warm time.Duration, utilization float64) fit {
+func (c Choice) fit(now time.Time, n *backendState, r Request, t *routeTimes, warm time.Duration, utilization float64) Exclusion {
 	wait := c.Estimate - c.serviceTime
 	late := utilization > maxLateUtilization && wait+min(warm, c.serviceTime)+r.Elapsed > r.Route.Objective.Duration()
 	switch {
-	case c.Load >= float64(queueFactor*c.Backend.Slots), n.isReturning(now), wait > r.Left, late:
-		return busy
+	case c.Load >= float64(queueFactor*c.Backend.Slots):
+		return ExcludedFull
+	case n.isReturning(now):
+		return ExcludedReturning
+	case wait > r.Left:
+		return ExcludedQueue
+	case late:
+		return ExcludedLate
 	case !c.Warm && !c.primary && (c.queued || utilization > maxSpillUtilization):
-		return busy
+		return ExcludedColdRun
 	case t.warm.mean == 0 || wait+min(warm, c.serviceTime) <= r.Left:
 		return eligible
 	case wait > 0:
-		return busy
+		return ExcludedQueue
 	}
-	return tooSlow
+	return ExcludedTooSlow
 }
 
 // candidates returns the backend servers that may get a request.
 func (b *Balancer) candidates(now time.Time, r Request) []*backendState {
 	backends := make([]*backendState, 0, len(b.services[r.Service]))
 	for _, n := range b.services[r.Service] {
-		if b.usable(now, n, r) {
+		if b.exclusion(now, n, r) == eligible {
 			backends = append(backends, n)
 		}
 	}
@@ -276,19 +271,28 @@
 	return c, warm + c.roundTrip
 }
 
-// usable reports whether a request may be sent to a backend server now.
-func (b *Balancer) usable(now time.Time, n *backendState, r Request) bool {
+// exclusion returns the rule by which a request may not be sent to a backend server now,
+// whatever the load.
+func (b *Balancer) exclusion(now time.Time, n *backendState, r Request) Exclusion {
 	switch {
-	case n.backend.Leaving, b.evacuated[n.backend.Zone], now.Before(n.suspendedUntil), b.zone(n.backend.Zone).isSuspended(now):
-		return false
-	case slices.Contains(r.Tried, n.backend.ID), n.stated.leaving, n.stated.isWaiting(now):
-		return false
+	case n.backend.Leaving, n.stated.leaving:
+		return ExcludedLeaving
+	case b.evacuated[n.backend.Zone]:
+		return ExcludedEvacuated
+	case now.Before(n.suspendedUntil):
+		return ExcludedSuspended
+	case b.zone(n.backend.Zone).isSuspended(now):
+		return ExcludedZone
+	case slices.Contains(r.Tried, n.backend.ID):
+		return ExcludedTried
+	case n.stated.isWaiting(now):
+		return ExcludedAskedToWait
 	case !r.permitsRegion(n.region):
-		return false
-	case n.isCold(now):
-		return n.coldTokens(now, b.ownColdRate(now, n)) >= 1
+		return ExcludedRegion
+	case n.isCold(now) && n.coldTokens(now, b.ownColdRate(now, n)) < 1:
+		return ExcludedCold
 	}
-	return true
+	return eligible
 }
 
 // permitsRegion reports whether both the route and the caller permit a region.
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -113,7 +113,9 @@
 			return err
 		}
 	}
-	return e.listenMetrics(options.Metrics.Address, options.Metrics.Path, func(*http.ServeMux) {})
+	return e.listenMetrics(options.Metrics.Address, options.Metrics.Path, func(mux *http.ServeMux) {
+		mux.HandleFunc("GET "+shfront.PlacePath, handler.ServePlace)
+	})
 }
 
 // Ready reports whether callers may be directed to this VM.
