Take an answer that is there before a second send is considered

Cause: with a late goroutine the timer and the answer can both be ready, and the choice between them is random. Ruled out: a priority among channels, which select does not have. Measured: the tests of second sends pass as before; no test shows the case.

--- a/transport/shfront/hedge.go
+++ b/transport/shfront/hedge.go
@@ -125,6 +125,9 @@
 
 // consider decides on a second send and makes it.
 func (h *hedge) consider(due time.Time, after time.Duration) {
+	if len(h.first.results) > 0 {
+		return
+	}
 	now := time.Now()
 	b := h.handler.Balancer
 	h.decided = true
