--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -127,8 +127,8 @@
 	defer b.mu.Unlock()
 	times := b.times(r.Route)
 	key := b.key(r)
-	b.countRequest(now, r)
 	b.sight(now, r, key)
+	b.countRequest(now, r)
 	best, backup, refusal := b.compare(now, r, times, key)
 	if best == nil {
 		return Choice{}, refusal
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -244,10 +244,10 @@
 	left        time.Duration // until the deadline
 	serviceTime time.Duration
 	roundTrip   time.Duration // part of serviceTime
-	unslowed    time.Duration // serviceTime of an average backend server, without roundTrip
-	hedgeable   bool          // may be sent a second time
 	bodyBytes   int64         // counted in flight
 	room        bool          // the body fits the bytes in flight
+	unslowed    time.Duration // serviceTime of an average backend server, without roundTrip
+	hedgeable   bool          // may be sent a second time
 	primary     bool
 	queued      bool
 	loss        float64
--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -48,10 +48,6 @@
 	RetryShare         float64 `json:"retryShare"`
 	RetrySlack         float64 `json:"retrySlack"`
 	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
-	// RepeatShare is the share of the requests of a service that may be sent to a
-	// second backend server because their answers are later than most, up to
-	// MaxRepeatShare. With zero, the default, none are. Second sends count as retries too.
-	RepeatShare float64 `json:"repeatShare"`
 	// RevokeSeconds is the time after the acknowledgement of a routing table within
 	// which keys that it took away stop everywhere; zero for no bound.
 	RevokeSeconds float64 `json:"revokeSeconds"`
@@ -61,6 +57,10 @@
 	QuotaWindowSeconds float64 `json:"quotaWindowSeconds"`
 	QuotaOver          float64 `json:"quotaOver"`
 	QuotaSlack         float64 `json:"quotaSlack"`
+	// RepeatShare is the share of the requests of a service that may be sent to a
+	// second backend server because their answers are later than most, up to
+	// MaxRepeatShare. With zero, the default, none are. Second sends count as retries too.
+	RepeatShare float64 `json:"repeatShare"`
 }
 
 // MaxRepeatShare is the largest RepeatShare: the share of retries that the example
--- a/transport/shfront/hedge.go
+++ b/transport/shfront/hedge.go
@@ -20,11 +20,11 @@
 	hedgeRecheck = 0.5
 )
 
-// refusedBudget and refusedLeft are reasons for which a request isn't sent a second
-// time, beside those of shbalance.
+// Reasons for which a request isn't sent a second time, beside those of shbalance.
 const (
-	refusedBudget shbalance.HedgeRefusal = "budget"
-	refusedLeft   shbalance.HedgeRefusal = "caller left"
+	refusedBudget    shbalance.HedgeRefusal = "budget"
+	refusedAllowance shbalance.HedgeRefusal = "allowance"
+	refusedLeft      shbalance.HedgeRefusal = "caller left"
 )
 
 // sending is a request that is being sent to a backend server. Do runs in a goroutine of
@@ -57,10 +57,7 @@
 // considered, and zero if none may be made.
 func (x *exchange) hedgeDelay(c shbalance.Choice) time.Duration {
 	switch {
-	case x.handler.Balancer.HedgeShare <= 0, x.hedged, x.route.Kind != shmodel.Idempotent, x.streamFrom() > 0:
-		return 0
-	case x.body.buffer != nil:
-		// The rest of the body can be sent once only.
+	case x.handler.Balancer.HedgeShare <= 0, x.hedged, x.route.Kind != shmodel.Idempotent, x.streamFrom() > 0, x.body.buffer != nil:
 		return 0
 	case x.mayHaveRun+1 >= x.route.Attempts:
 		return 0
@@ -135,13 +132,18 @@
 		h.decision = shbalance.Hedge{Refused: refusedLeft}
 		return
 	}
-	h.decision = b.Hedge(now, due, h.first.choice, h.balancerRequest(now))
+	h.decision = b.Hedge(now, due, h.first.choice, h.balanced(now))
 	if h.decision.Refused != "" {
 		return
 	}
-	if !h.handler.spendHedge(h.service, now) {
-		b.WithdrawHedge(h.decision.Choice)
+	switch {
+	case !h.takeForSecond():
+		h.decision.Refused = refusedAllowance
+	case !h.handler.spendHedge(h.service, now):
 		h.decision.Refused = refusedBudget
+	}
+	if h.decision.Refused != "" {
+		b.WithdrawHedge(h.decision.Choice)
 		return
 	}
 	h.hedged, h.sentAfter = true, after
--- a/transport/shfront/team.go
+++ b/transport/shfront/team.go
@@ -61,7 +61,7 @@
 }
 
 func (x *exchange) takeAllowance() bool {
-	ok, after := x.takeTicket()
+	ok, after := x.takeTicket(x.request.Context())
 	if !ok {
 		x.refuseWith(http.StatusTooManyRequests, "allowance of team "+x.team.Name+" used up", after)
 	}
@@ -115,13 +115,14 @@
 	}
 }
 
-// takeTicket takes one request from the allowance of the team.
-func (x *exchange) takeTicket() (ok bool, retryAfter time.Duration) {
+// takeTicket takes one request from the allowance of the team. It waits no longer than
+// ctx lasts.
+func (x *exchange) takeTicket(ctx context.Context) (ok bool, retryAfter time.Duration) {
 	h := x.handler
 	if h.Allowance == nil || x.team == nil || x.team.Rate <= 0 {
 		return true, 0
 	}
-	t, ok, after := h.Allowance.Take(x.request.Context(), x.team)
+	t, ok, after := h.Allowance.Take(ctx, x.team)
 	if ok {
 		x.tickets = append(x.tickets, t)
 	}
@@ -134,7 +135,15 @@
 	if len(x.tickets) > x.mayHaveRun || len(x.tickets) == 0 {
 		return true
 	}
-	ok, _ := x.takeTicket()
+	ok, _ := x.takeTicket(x.request.Context())
+	return ok
+}
+
+// takeForSecond takes a further request from the allowance if it has one at hand.
+func (x *exchange) takeForSecond() bool {
+	ctx, cancel := context.WithCancel(x.request.Context())
+	cancel()
+	ok, _ := x.takeTicket(ctx)
 	return ok
 }
 
