Say that an address is not that of an entry VM's metrics

Cause: a trial of the command place at another process printed an error of the JSON decoder only. Ruled out: a check of the content type, which a proxy of errors may set as well.

--- a/cmd/sequoiahollow/place.go
+++ b/cmd/sequoiahollow/place.go
@@ -55,7 +55,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxPlaceBytes)).Decode(&report); err != nil {
-		return report, fmt.Errorf("%s: %w", response.Status, err)
+		return report, fmt.Errorf("%s is not the metrics address of an entry VM: %s, %w", c.Entry, response.Status, err)
 	}
 	if report.Error != "" {
 		return report, errors.New(report.Error)
