Share the requests in flight between entry VMs

Each entry VM of a large fleet sees few of the requests of a backend server and learned its load from answers only, so requests of others queued up unnoticed. Entry VMs now exchange what they have in flight through the leader; the homes of keys go with it.

--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -39,9 +39,10 @@
 	// CacheSeconds is how long callers may use an answer of the directory.
 	CacheSeconds float64 `json:"cacheSeconds"`
 	MemoryMB     int     `json:"memoryMb"`
-	// ShareKeyHomes says that entry VMs tell each other in which region a key has its
+	// ShareLoad says that entry VMs tell each other, through the leader, how many
+	// requests they have at each backend server and in which region a key has its
 	// backend servers.
-	ShareKeyHomes bool `json:"shareKeyHomes"`
+	ShareLoad bool `json:"shareLoad"`
 	// RetryShare, RetrySlack and RetryWindowSeconds bound the retries that all
 	// entry VMs together make for a service: in any window, RetryShare of its
 	// requests plus RetrySlack. A window of zero selects the defaults of shfront.
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -10,6 +10,7 @@
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shhome"
+	"sequoiahollow/coordination/shload"
 	"sequoiahollow/coordination/shraft"
 	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
@@ -54,6 +55,7 @@
 	// reportedCrashes is kept in the memory of the leader only.
 	reportedCrashes map[reportedCrash]bool
 	homes           shhome.Table
+	loads           shload.Sums
 
 	allowances allowances
 
@@ -180,7 +182,7 @@
 		r.leaderSince = time.Now()
 		clear(r.lastHeartbeat)
 		clear(r.lastWatch)
-		r.homes = shhome.Table{}
+		r.homes, r.loads = shhome.Table{}, shload.Sums{}
 		r.allowances = allowances{}
 	}
 }
@@ -415,7 +417,7 @@
 		return ranges, err
 	})
 	shpeer.Handle(r.config.Server, MethodWatch, r.watch)
-	shpeer.Handle(r.config.Server, MethodHomes, r.shareHomes)
+	shpeer.Handle(r.config.Server, MethodShare, r.share)
 	if r.config.Quota.Enabled() {
 		shpeer.Handle(r.config.Server, MethodAllowance, r.allowance)
 	}
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -95,8 +95,8 @@
 	MethodReserve = "fleet.reserve"
 	// MethodWatch takes a WatchRequest and returns a WatchResponse.
 	MethodWatch = "fleet.watch"
-	// MethodHomes takes a HomesRequest and returns a HomesResponse.
-	MethodHomes = "fleet.homes"
+	// MethodShare takes a ShareRequest and returns a ShareResponse.
+	MethodShare = "fleet.share"
 	// MethodAllowance takes a shquota.Ask and returns a shquota.Answer.
 	MethodAllowance = "fleet.allowance"
 )
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -80,8 +80,8 @@
 	go e.account.run(background)
 	go e.sendReports(background)
 	go e.pruneConnections(background)
-	if s.ShareKeyHomes {
-		go e.shareHomes(background)
+	if s.ShareLoad {
+		go e.share(background)
 	}
 	go e.reload(background, options)
 	if err := e.serve(handler, options); err != nil {
--- a/transport/shwatch/shwatch.go
+++ b/transport/shwatch/shwatch.go
@@ -58,6 +58,7 @@
 
 	watchFinder      shleader.Finder // for the watch call, which has a longer timeout
 	finder           shleader.Finder
+	shareFinder      shleader.Finder
 	allowanceFinder  shleader.Finder // for asks, which have a shorter timeout
 	view             atomic.Pointer[shfleet.View]
 	lastAnswer       atomic.Pointer[time.Time] // nil before the first
@@ -122,9 +123,9 @@
 	return shleader.Call[shrecord.Range](ctx, &w.finder, w.Client, w.addresses, shregistry.MethodReserve, c)
 }
 
-// ShareHomes reports keys to the table of their homes and returns what is new there.
-func (w *Watcher) ShareHomes(ctx context.Context, q shregistry.HomesRequest) (shregistry.HomesResponse, error) {
-	return shleader.Call[shregistry.HomesResponse](ctx, &w.finder, w.Client, w.addresses, shregistry.MethodHomes, q)
+// Share tells the leader what this VM knows and returns what others told it.
+func (w *Watcher) Share(ctx context.Context, q shregistry.ShareRequest) (shregistry.ShareResponse, error) {
+	return shleader.Call[shregistry.ShareResponse](ctx, &w.shareFinder, w.Client, w.addresses, shregistry.MethodShare, q)
 }
 
 // ControlAddresses returns the peer addresses of the control VMs in the last
