--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shhome"
 	"sequoiahollow/state/shmodel"
 )
 
@@ -28,6 +29,10 @@
 	roundTrips map[shmodel.FailureDomain]*movingAverage
 	zones      map[shmodel.FailureDomain]*zoneState
 	keys       map[keySpace]map[string]*key
+	// homes are the known regions of keys.
+	homes map[shhome.Key]shmodel.Region
+	// sightings are keys that Sightings returns next.
+	sightings []shhome.Home
 	// absent holds the statements of instances that are not in the view.
 	absent map[shfleet.Instance]statement
 }
@@ -44,9 +49,13 @@
 		zones:      map[shmodel.FailureDomain]*zoneState{},
 		keys:       map[keySpace]map[string]*key{},
 		absent:     map[shfleet.Instance]statement{},
+		homes:      map[shhome.Key]shmodel.Region{},
 	}
 }
 
+// Place returns where the entry VM runs.
+func (b *Balancer) Place() Place { return b.place }
+
 // Update replaces the view of the fleet. What the balancer has learned of an
 // instance of a backend server is kept while that instance is in the view.
 func (b *Balancer) Update(now time.Time, v shfleet.View) {
@@ -110,6 +119,7 @@
 	defer b.mu.Unlock()
 	times := b.times(r.Route)
 	key := b.key(r)
+	b.sight(now, r, key)
 	best, backup, refusal := b.compare(now, r, times, key)
 	if best == nil {
 		return Choice{}, refusal
@@ -121,6 +131,8 @@
 	key.addLoss(now, *best, waitLoss*float64(times.warm.mean)/float64(objective))
 	n := b.backends[best.Backend.ID]
 	n.startRequest(now, key.name, b.ownColdRate(now, n))
+	best.bodyBytes = counted(r.BodyBytes)
+	n.bodyBytes += best.bodyBytes
 	b.zone(n.backend.Zone).probe(now)
 	return *best, nil
 }
@@ -130,7 +142,7 @@
 // why.
 func (b *Balancer) compare(now time.Time, r Request, t *routeTimes, k *key) (best, backup *Choice, refusal *Refusal) {
 	backends := b.candidates(now, r)
-	p := b.preferred(backends, k.hash)
+	p := b.preferred(backends, k)
 	tie := mix(k.hash, b.vmHash) // spreads entry VMs over choices of equal loss
 	utilization := utilizationOf(now, backends)
 	refusal = &Refusal{Reason: NoBackend, RetryAfter: firstSuspension, Candidates: len(backends), Utilization: utilization}
@@ -146,10 +158,11 @@
 			continue
 		}
 		c.loss = b.loss(now, n, r, c.Estimate)
-		if best == nil || c.loss < best.loss || (c.loss == best.loss && ranksBefore(tie, n, bestBackend)) {
+		c.room = n.hasRoom(r)
+		if best == nil || c.beats(*best) || (c.equals(*best) && ranksBefore(tie, n, bestBackend)) {
 			best, bestBackend = &c, n
 		}
-		if c.Warm || c.primary || c.queued || utilization > maxSpillUtilization || n != p.backup {
+		if c.Warm || c.primary || c.queued || !c.room || utilization > maxSpillUtilization || n != p.backup {
 			continue
 		}
 		warmUp := c
--- a/transport/shfront/handler.go
+++ b/transport/shfront/handler.go
@@ -1,12 +1,9 @@
 package shfront
 
 import (
-	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +15,7 @@
 	"sequoiahollow/coordination/shlimit"
 	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/internal/shpipeline"
 	"sequoiahollow/transport/shorigin"
 )
 
@@ -50,6 +48,11 @@
 	Account Account
 	// Retries bounds the attempts after the first one.
 	Retries RetryLimit
+	// Hold is called for a request with a body, before any of it is read. It returns the
+	// hold that bounds the memory of the body. With nil there is no bound.
+	Hold func(*http.Request) BodyHold
+	// Stall is how long a caller may be silent in a body. Zero means five seconds.
+	Stall time.Duration
 	// Place is where the VM runs; it goes into the account records.
 	Place   shbalance.Place
 	Metrics *metrics.Set
@@ -66,12 +69,24 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{handler: h, writer: w, request: r, received: time.Now(), id: r.Header.Get(h.Dialect.RequestID)}
-	if h.Closing() {
+	if h.Closing() && shpipeline.MayClose(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	x.serve()
 }
 
+// MayOverlap reports whether a request without a body may be served beside others of
+// its connection: only if it may run twice, since its answer is lost if one ahead of it
+// closes the connection.
+func (h *Handler) MayOverlap(r *http.Request) bool {
+	table := h.View().Table
+	if table == nil || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		return false
+	}
+	route := table.Route(hostOf(r), pathOf(r.RequestURI))
+	return route != nil && route.Kind == shmodel.Idempotent
+}
+
 // hopHeaders are the hop-by-hop headers, which are not forwarded.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
@@ -92,32 +107,6 @@
 	return c
 }
 
-// readBody reads the body of a request. If that fails it answers the caller and
-// returns false.
-func (x *exchange) readBody(limit int64) bool {
-	r := x.request
-	if limit > 0 && r.ContentLength > limit {
-		x.reject(http.StatusRequestEntityTooLarge, "body of "+strconv.FormatInt(r.ContentLength, 10)+" bytes")
-		return false
-	}
-	reader := io.Reader(r.Body)
-	if limit > 0 {
-		reader = http.MaxBytesReader(x.writer, r.Body, limit)
-	}
-	body, err := io.ReadAll(reader)
-	if err == nil {
-		x.body = body
-		return true
-	}
-	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		x.reject(http.StatusRequestEntityTooLarge, err.Error())
-		return false
-	}
-	// The caller closed the connection, so no answer can be sent.
-	x.finish(outcomeCanceled, 0, "request body: "+err.Error())
-	panic(http.ErrAbortHandler)
-}
-
 // hostOf returns the host of a request without port, in lower case.
 func hostOf(r *http.Request) string {
 	host := r.Host
--- a/transport/shfront/team.go
+++ b/transport/shfront/team.go
@@ -42,6 +42,16 @@
 	x.view = x.handler.View()
 }
 
+// findRoute finds the route of the request in the view, and its deadline if it had no
+// route before.
+func (x *exchange) findRoute() {
+	first := x.route == nil
+	x.route = x.view.Table.Route(hostOf(x.request), pathOf(x.request.RequestURI))
+	if first && x.route != nil {
+		x.setDeadline()
+	}
+}
+
 // authorize finds the team of the request and takes the request from its allowance.
 // It returns false if it has answered the caller.
 func (x *exchange) authorize() bool {
@@ -147,9 +157,11 @@
 	// The attempt was not made, so the same backend server may be chosen again.
 	x.tried, x.attempts = x.tried[:len(x.tried)-1], x.attempts[:len(x.attempts)-1]
 	x.keyChanged = false
+	accepted := x.route
 	x.loadView()
-	if r := x.view.Table.Route(hostOf(x.request), pathOf(x.request.RequestURI)); r != nil {
-		x.route = r
+	if x.findRoute(); x.route == nil {
+		// The request was accepted before the route was dropped.
+		x.route = accepted
 	}
 	if x.mayHaveRun == 0 {
 		x.returnAllowance()
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -9,6 +9,7 @@
 
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shhome"
 	"sequoiahollow/coordination/shraft"
 	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
@@ -52,6 +53,7 @@
 	sequences   map[shmodel.BackendServer]sequence
 	// reportedCrashes is kept in the memory of the leader only.
 	reportedCrashes map[reportedCrash]bool
+	homes           shhome.Table
 
 	packer changePacker
 }
@@ -176,6 +178,7 @@
 		r.leaderSince = time.Now()
 		clear(r.lastHeartbeat)
 		clear(r.lastWatch)
+		r.homes = shhome.Table{}
 	}
 }
 
@@ -409,6 +412,7 @@
 		return ranges, err
 	})
 	shpeer.Handle(r.config.Server, MethodWatch, r.watch)
+	shpeer.Handle(r.config.Server, MethodHomes, r.shareHomes)
 }
 
 // reserve handles MethodReserve: it reserves a range of account record numbers.
