--- a/coordination/shbalance/backend_state.go
+++ b/coordination/shbalance/backend_state.go
@@ -35,6 +35,9 @@
 	failures    float64
 	logSlowdown float64
 	learnedAt   time.Time
+	// lateAt is when an answer was last found to be late, zero after one in the usual
+	// time. It is only used for second sends.
+	lateAt time.Time
 
 	suspendedUntil time.Time
 	suspension     time.Duration
@@ -191,6 +194,7 @@
 		}
 		b.observeRoundTrip(n, now.Sub(c.at), o)
 		if !o.Failed {
+			b.recordShape(now, c, now.Sub(c.at)-o.Connect-o.Transfer, true)
 			b.observeResponse(now, n, c, o)
 		}
 	case Shed:
@@ -203,6 +207,7 @@
 		if disturbed {
 			return
 		}
+		b.recordShape(now, c, now.Sub(c.at), false)
 		n.observeFailure(true)
 		n.observeSlowdown(now.Sub(c.at)-c.roundTrip, c.Estimate-c.roundTrip)
 	case Unreachable:
@@ -210,6 +215,10 @@
 		b.zone(n.backend.Zone).observeUnreachable(now, n)
 	case Replaced:
 		n.suspend(now, replacedSuspension)
+	case Outrun:
+		if !disturbed {
+			b.observeOutrun(now, n, c)
+		}
 	case Canceled:
 	}
 }
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"sequoiahollow/coordination/shbalance"
@@ -31,7 +32,7 @@
 	// keysUntil is the end of the permission to accept the keys of view, or of an
 	// earlier one; keyChanged is set if the check at the time of sending failed.
 	keysUntil  time.Duration
-	keyChanged bool
+	keyChanged atomic.Bool
 	service    shmodel.Service
 	key        string
 	digest     shmodel.Digest
@@ -53,6 +54,10 @@
 	// lastFailure is the latest complete answer that reports a failure of the
 	// backend server. The caller gets it if no other attempt succeeds.
 	lastFailure *shorigin.Response
+	// hedged says that the request was sent to a second backend server before the
+	// first one answered. beforeDelivery, unless nil, ends the other send.
+	hedged         bool
+	beforeDelivery func()
 }
 
 // serve reads the request, matches it to a route and answers the caller.
@@ -114,10 +119,7 @@
 func (x *exchange) sendUntilFinal() {
 	for {
 		now := time.Now()
-		choice, refusal := x.handler.Balancer.Pick(now, shbalance.Request{
-			Route: x.route, Service: x.service, Key: x.key, Regions: x.teamRegions(), Tried: x.tried,
-			Elapsed: now.Sub(x.received), Left: x.deadline.Sub(now), BodyBytes: x.body.size(),
-		})
+		choice, refusal := x.handler.Balancer.Pick(now, x.balanced(now))
 		if refusal != nil {
 			x.refusal = refusal
 			x.giveUp(string(refusal.Reason), refusal.RetryAfter)
@@ -138,6 +140,14 @@
 	}
 }
 
+// balanced returns what the choice of a backend server depends on.
+func (x *exchange) balanced(now time.Time) shbalance.Request {
+	return shbalance.Request{
+		Route: x.route, Service: x.service, Key: x.key, Regions: x.teamRegions(), Tried: x.tried,
+		Elapsed: now.Sub(x.received), Left: x.deadline.Sub(now), BodyBytes: x.body.size(),
+	}
+}
+
 // attemptResult says what may follow an attempt.
 type attemptResult int
 
@@ -164,20 +174,38 @@
 
 // attempt sends the request to one backend server.
 func (x *exchange) attempt(c shbalance.Choice) attemptResult {
-	h := x.handler
+	x.addAttempt(c)
+	if delay := x.hedgeDelay(c); delay > 0 {
+		return x.attemptHedged(c, delay)
+	}
+	response, err := x.handler.Origin.Do(x.request.Context(), c.Backend.Address, x.originRequest(c))
+	return x.handleResult(c, response, err)
+}
+
+// addAttempt records that the request is sent to a backend server.
+func (x *exchange) addAttempt(c shbalance.Choice) {
 	x.tried = append(x.tried, c.Backend.ID)
 	x.attempts = append(x.attempts, attempt{at: time.Now(), backend: c.Backend})
+}
+
+// originRequest returns what is sent to a backend server.
+func (x *exchange) originRequest(c shbalance.Choice) shorigin.Request {
+	h := x.handler
 	header := endToEndHeaders(x.request.Header)
 	header.Del(h.Dialect.Timeout)
 	header.Set(h.Dialect.Instance, string(c.Backend.ID))
 	x.setTeam(header)
-	response, err := h.Origin.Do(x.request.Context(), c.Backend.Address, shorigin.Request{
+	return shorigin.Request{
 		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: header,
 		Body: x.body.copyPieces(), Rest: x.body.rest(), Length: x.body.length, Chunked: x.body.length < 0,
 		EchoHeader: h.Dialect.RequestID, TimeoutHeader: h.Dialect.Timeout,
 		MaySend:  x.maySend(c),
 		Deadline: x.deadline, Once: x.route.Kind == shmodel.OnceOnly, StreamFrom: x.streamFrom(),
-	})
+	}
+}
+
+// handleResult handles the result of an attempt.
+func (x *exchange) handleResult(c shbalance.Choice, response shorigin.Response, err error) attemptResult {
 	declined := x.observeStatements(c, response)
 	if err != nil {
 		return x.handleFailure(c, err)
@@ -200,7 +228,7 @@
 		return attemptMayRepeat
 	case shorigin.KindWithheld:
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
-		if x.keyChanged {
+		if x.keyChanged.Load() {
 			return attemptWithheld
 		}
 		return attemptMayRepeat
@@ -316,6 +344,9 @@
 // deliver sends the answer of a backend server to the caller and ends the
 // request.
 func (x *exchange) deliver(c shbalance.Choice, r shorigin.Response, load *shbalance.Load) {
+	if x.beforeDelivery != nil {
+		x.beforeDelivery()
+	}
 	x.writeAnswer(r)
 	x.answerBytes = len(r.Body)
 	x.finishDelivered(c, r, load)
--- a/transport/shfront/team.go
+++ b/transport/shfront/team.go
@@ -71,7 +71,7 @@
 }
 
 func (x *exchange) takeAllowance() bool {
-	ok, after := x.takeTicket()
+	ok, after := x.takeTicket(x.request.Context())
 	if !ok {
 		x.refuseWith(http.StatusTooManyRequests, "allowance of team "+x.team.Name+" used up", after)
 	}
@@ -125,13 +125,14 @@
 	}
 }
 
-// takeTicket takes one request from the allowance of the team.
-func (x *exchange) takeTicket() (ok bool, retryAfter time.Duration) {
+// takeTicket takes one request from the allowance of the team. It waits no longer than
+// ctx lasts.
+func (x *exchange) takeTicket(ctx context.Context) (ok bool, retryAfter time.Duration) {
 	h := x.handler
 	if h.Allowance == nil || x.team == nil || x.team.Rate <= 0 {
 		return true, 0
 	}
-	t, ok, after := h.Allowance.Take(x.request.Context(), x.team)
+	t, ok, after := h.Allowance.Take(ctx, x.team)
 	if ok {
 		x.tickets = append(x.tickets, t)
 	}
@@ -144,7 +145,15 @@
 	if len(x.tickets) > x.mayHaveRun || len(x.tickets) == 0 {
 		return true
 	}
-	ok, _ := x.takeTicket()
+	ok, _ := x.takeTicket(x.request.Context())
+	return ok
+}
+
+// takeForSecond takes a further request from the allowance if it has one at hand.
+func (x *exchange) takeForSecond() bool {
+	ctx, cancel := context.WithCancel(x.request.Context())
+	cancel()
+	ok, _ := x.takeTicket(ctx)
 	return ok
 }
 
@@ -166,12 +175,13 @@
 	}
 	table := h.View().Table
 	if table.Keyed() != x.view.Table.Keyed() {
-		x.keyChanged = true
+		x.keyChanged.Store(true)
 		return false
 	}
 	team, refusal := x.checkKey(table, until, clock)
-	x.keyChanged = refusal != "" || !sameTeam(team, x.team)
-	return !x.keyChanged
+	changed := refusal != "" || !sameTeam(team, x.team)
+	x.keyChanged.Store(changed)
+	return !changed
 }
 
 // sameTeam reports whether requests of two teams are sent in the same way.
@@ -187,7 +197,7 @@
 func (x *exchange) authorizeAgain() bool {
 	// The attempt was not made, so the same backend server may be chosen again.
 	x.tried, x.attempts = x.tried[:len(x.tried)-1], x.attempts[:len(x.attempts)-1]
-	x.keyChanged = false
+	x.keyChanged.Store(false)
 	accepted := x.route
 	x.loadView()
 	if x.findRoute(); x.route == nil {
