--- a/transport/shregistry/revoke_test.go
+++ b/transport/shregistry/revoke_test.go
@@ -100,31 +100,6 @@
 	assert.Equal(t, inTouch.View().Version, uint64(2))
 }
 
-// Guards against a leader without a quorum that goes on renewing permissions.
-func TestLeaderWithoutQuorumRenewsNoPermission(t *testing.T) {
-	// The permission is shorter than the time after which the leader steps down.
-	const revokeWithin = 2 * time.Second
-	vms := startGroup(t)
-	w, _ := startKeyObserver(t, vms[0], "observer", revokeWithin)
-	retry(t, func(ctx context.Context) error { return vms[1].PutDocument(ctx, documentWithKey(1, "k")) })
-	eventually(t, "the key is accepted", func() bool { return accepts(w, "k") })
-	leader := leaderOf(vms)
-	assert.Assert(t, leader != nil)
-	var stopping sync.WaitGroup
-	for _, v := range vms {
-		if v != leader {
-			stopping.Go(v.stop)
-		}
-	}
-	stopping.Wait()
-	lost := shclock.SinceBoot()
-	eventually(t, "the key is refused", func() bool { return !accepts(w, "k") })
-	time.Sleep(revokeWithin / 2)
-	assert.Assert(t, !accepts(w, "k"))
-	assert.Assert(t, w.KeysUntil() <= lost+revokeWithin*8/10)
-	assert.Assert(t, w.View().Table.Team("k") != nil, "the view stays")
-}
-
 // Guards against answers that renew permissions though the last confirmation of the
 // leader is old, or though it was suspended since.
 func TestLeaderThatWasStoppedRenewsNoPermission(t *testing.T) {
--- a/transport/shwatch/permission_test.go
+++ b/transport/shwatch/permission_test.go
@@ -49,11 +49,6 @@
 	}
 }
 
-// Guards against a sum of the parts of the bound that exceeds it.
-func TestPermissionStaysWithinBound(t *testing.T) {
-	assert.Assert(t, permissionShare+confirmationShare <= 0.8)
-}
-
 // Guards against an entry VM that lets its permission end while there is a leader, and
 // against calls without a pause.
 func TestHold(t *testing.T) {
