--- a/transport/shfront/keys_test.go
+++ b/transport/shfront/keys_test.go
@@ -245,6 +245,20 @@
 	}
 }
 
+// Guards against 404 for a route that was added before the body had arrived.
+func TestRouteAddedWhileBodyIsRead(t *testing.T) {
+	f := newKeyedFixture(t)
+	none := *f.current.Load()
+	none.Table = shfleet.NewRouteIndex(shfleet.Table{})
+	f.current.Store(&none)
+	conn := f.dial(t)
+	fmt.Fprint(conn, head(idempotent, token, "Content-Length: 4")+"\r\nab")
+	time.Sleep(50 * time.Millisecond)
+	f.setTeams(team("a", secretKey))
+	fmt.Fprint(conn, "cd")
+	assertShown(t, readAnswer(t, bufio.NewReader(conn)), "a")
+}
+
 // Guards against a connection that keeps the team of its first request.
 func TestKeyChangesBetweenPipelinedRequests(t *testing.T) {
 	f := newKeyedFixture(t, team("a", secretKey))
