--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -72,10 +72,7 @@
 		x.refuse("no routing table yet", noTableRetryAfter)
 		return
 	}
-	x.route = x.view.Table.Route(hostOf(x.request), pathOf(x.request.RequestURI))
-	if x.route != nil {
-		x.setDeadline()
-	}
+	x.findRoute()
 	defer x.body.close()
 	// The body of a request that is refused is not read if it is long: it would take
 	// the link from other requests.
@@ -90,6 +87,7 @@
 		// Reading the body may have taken long. For a long one, the check before sending
 		// notices what has changed.
 		x.loadView()
+		x.findRoute()
 		if !x.admit() {
 			return
 		}
