Pace long bodies to the link, and wait longer for connections on a slow one

Where the routing table has routes for uploads, bodies of 16 KiB or more are written in pieces that take at most 0.8 of the link, and the time to open a connection grows by what two bodies take.

--- a/coordination/shfleet/shfleet.go
+++ b/coordination/shfleet/shfleet.go
@@ -96,6 +96,8 @@
 	// Download says that answers are large. They are passed on while they arrive,
 	// not held until they are complete.
 	Download bool `json:"download,omitempty"`
+	// Upload says that the bodies of requests are large.
+	Upload bool `json:"upload,omitempty"`
 	// Public says that requests need no key of a team.
 	Public bool `json:"public,omitempty"`
 	// Objective is the response time up to which a request has its full benefit.
--- a/coordination/shfleet/table.go
+++ b/coordination/shfleet/table.go
@@ -91,7 +91,8 @@
 	services map[shmodel.Service]*Service
 	teams    map[KeyDigest]*Team
 	// keyed says that the table has teams, even if none of them has a key.
-	keyed bool
+	keyed   bool
+	uploads bool
 }
 
 // NewRouteIndex returns the index of a table.
@@ -100,6 +101,7 @@
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		x.hosts[r.Host] = append(x.hosts[r.Host], r)
+		x.uploads = x.uploads || r.Upload
 	}
 	for _, routes := range x.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -122,6 +124,9 @@
 // NeedsKey reports whether requests of a route need the key of a team.
 func (x *RouteIndex) NeedsKey(r *Route) bool { return x.keyed && !r.Public }
 
+// HasUploads reports whether the table has routes for uploads.
+func (x *RouteIndex) HasUploads() bool { return x != nil && x.uploads }
+
 // Keyed reports whether the table has teams.
 func (x *RouteIndex) Keyed() bool { return x.keyed }
 
--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -39,6 +39,8 @@
 	// CacheSeconds is how long callers may use an answer of the directory.
 	CacheSeconds float64 `json:"cacheSeconds"`
 	MemoryMB     int     `json:"memoryMb"`
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, zero for no bound.
+	LinkMbps float64 `json:"linkMbps"`
 	// ShareLoad says that entry VMs tell each other, through the leader, how many
 	// requests they have at each backend server and in which region a key has its
 	// backend servers.
--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -22,6 +22,9 @@
 // Client sends requests to backend servers and reuses connections. The zero value
 // is ready to use. A Client is safe for concurrent use.
 type Client struct {
+	// Link is the network link of the VM.
+	Link Link
+
 	mu        sync.Mutex
 	idle      map[string][]*conn
 	idleCount int
@@ -37,6 +40,7 @@
 	// input is below reader and bounds what an answer may bring.
 	input  *boundedInput
 	held   *atomic.Int64 // of the Client
+	link   *Link
 	usedAt time.Time
 	// idleLimit is how long the connection may be idle.
 	idleLimit time.Duration
@@ -51,20 +55,11 @@
 	if err := r.checkMaySend(); err != nil {
 		return Response{}, err
 	}
-	x, reused := c.take(address, r.Once)
-	var connect time.Duration
-	if x == nil {
-		var err error
-		began := time.Now()
-		if x, err = dial(ctx, address, r.Deadline); err != nil && ctx.Err() != nil {
-			return Response{}, &Error{Op: "dial", Kind: KindCanceled, Err: context.Cause(ctx)}
-		}
-		if err != nil {
-			return Response{}, err
-		}
-		x.held = &c.held
-		connect = time.Since(began)
+	x, connect, err := c.open(ctx, address, r)
+	if err != nil {
+		return Response{}, err
 	}
+	reused := connect == 0
 	stop := context.AfterFunc(ctx, func() { x.Close() })
 	response, keep, sent, err := exchange(x, r)
 	response.Reused, response.Connect = reused, connect
@@ -90,6 +85,24 @@
 	return response, err
 }
 
+// open returns a connection to a backend server and the time that it took to open it,
+// zero for an idle one.
+func (c *Client) open(ctx context.Context, address string, r Request) (*conn, time.Duration, error) {
+	if x := c.idleConn(address, r.Once); x != nil {
+		return x, 0, nil
+	}
+	began := time.Now()
+	x, err := dial(ctx, address, min(c.Link.dialTimeout(), time.Until(r.Deadline)))
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return nil, 0, &Error{Op: "dial", Kind: KindCanceled, Err: context.Cause(ctx)}
+	case err != nil:
+		return nil, 0, err
+	}
+	x.held, x.link = &c.held, &c.Link
+	return x, max(time.Since(began), 1), nil
+}
+
 func (r Request) checkMaySend() error {
 	if r.MaySend == nil || r.MaySend() {
 		return nil
@@ -140,8 +153,8 @@
 	return nil
 }
 
-func dial(ctx context.Context, address string, deadline time.Time) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout, time.Until(deadline)))
+func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	d := net.Dialer{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
@@ -181,21 +194,20 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 const tcpUserTimeout = 0x12
 
-// take returns an idle connection, or nil if there is no usable one, and whether
-// there is one.
-func (c *Client) take(address string, once bool) (*conn, bool) {
+// idleConn returns an idle connection, or nil if there is no usable one.
+func (c *Client) idleConn(address string, once bool) *conn {
 	now := time.Now()
 	for {
 		x := c.pop(address)
 		if x == nil {
-			return nil, false
+			return nil
 		}
 		limit := x.idleLimit
 		if once {
 			limit = min(limit, maxIdleOnce)
 		}
 		if now.Sub(x.usedAt) < limit && x.hasNoInput() {
-			return x, true
+			return x
 		}
 		x.Close()
 	}
--- a/transport/shorigin/send.go
+++ b/transport/shorigin/send.go
@@ -136,6 +136,9 @@
 	if s.request.Chunked && s.request.Rest == nil {
 		message = append(message, []byte(lastChunk))
 	}
+	if size >= asyncBody {
+		return s.conn.link.write(s.conn, message)
+	}
 	_, err := message.WriteTo(s.conn.Conn)
 	return err
 }
@@ -181,8 +184,7 @@
 	if s.request.Chunked {
 		message = net.Buffers{fmt.Appendf(nil, "%x\r\n", len(piece)), piece, []byte("\r\n")}
 	}
-	_, err := message.WriteTo(s.conn.Conn)
-	return err
+	return s.conn.link.write(s.conn, message)
 }
 
 // finish ends the writing and reports whether the whole request has been written. If
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -45,12 +45,16 @@
 	refusing     atomic.Bool
 }
 
+func newOrigin(s shsettings.Fleet) *shorigin.Client {
+	return &shorigin.Client{Link: shorigin.Link{BitsPerSecond: int64(s.LinkMbps * 1e6)}}
+}
+
 // maxQueuedReports bounds the queue of crash reports for the leader.
 const maxQueuedReports = 64
 
 // RunEntry runs an entry VM until ctx ends, then stops gracefully.
 func RunEntry(ctx context.Context, s shsettings.Fleet, options EntryOptions, log *slog.Logger) error {
-	e := &Entry{process: newProcess(s, log), origin: &shorigin.Client{}, crashReports: make(chan shfront.CrashReport, maxQueuedReports)}
+	e := &Entry{process: newProcess(s, log), origin: newOrigin(s), crashReports: make(chan shfront.CrashReport, maxQueuedReports)}
 	seeds := s.PeerSeeds()
 	e.seeds.Store(&seeds)
 	place := shbalance.Place{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
@@ -59,7 +63,10 @@
 	e.watcher = &shwatch.Watcher{
 		VM: s.VM, Client: e.client, Seeds: func() []string { return *e.seeds.Load() },
 		Entry: e.announcement, Logger: log,
-		Changed:      func(v shfleet.View) { e.balancer.Update(time.Now(), v) },
+		Changed: func(v shfleet.View) {
+			e.balancer.Update(time.Now(), v)
+			e.origin.Link.SetUploads(v.Table.HasUploads())
+		},
 		RevokeWithin: shsettings.Seconds(s.RevokeSeconds),
 	}
 	e.account = newAccountWriter(e.process, e.watcher)
