--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -38,7 +38,10 @@
 	StopSeconds float64 `json:"stopSeconds"`
 	// CacheSeconds is how long callers may use an answer of the directory.
 	CacheSeconds float64 `json:"cacheSeconds"`
-	MemoryMB     int     `json:"memoryMb"`
+	// MemoryMB and MaxFDs are the memory of the VM in MiB and the file descriptors
+	// that the process may have open; zero means no limit.
+	MemoryMB int `json:"memoryMb"`
+	MaxFDs   int `json:"maxFds"`
 	// RetryShare, RetrySlack and RetryWindowSeconds bound the retries that all
 	// entry VMs together make for a service: in any window, RetryShare of its
 	// requests plus RetrySlack. A window of zero selects the defaults of shfront.
@@ -115,6 +118,11 @@
 			report(name, "%v is negative", value)
 		}
 	}
+	for name, value := range map[string]int{"memoryMb": f.MemoryMB, "maxFds": f.MaxFDs} {
+		if value < 0 {
+			report(name, "%d is negative", value)
+		}
+	}
 	if f.TolerateLosses < 0 {
 		report("tolerateLosses", "is negative")
 	}
--- a/state/shsettings/fleet_test.go
+++ b/state/shsettings/fleet_test.go
@@ -43,6 +43,7 @@
 		"tolerateLosses":   {`"tolerateLosses": 2`, `"tolerateLosses": -1`},
 		"unknown":          {`"vm"`, `"unknown": 1, "vm"`},
 		"memoryMb":         {"280", `"280"`},
+		"maxFds":           {`"memoryMb": 280`, `"maxFds": -1`},
 	} {
 		t.Run(want, func(t *testing.T) {
 			text := strings.Replace(fleetSettings, replace[0], replace[1], 1)
--- a/state/shsettings/settings.go
+++ b/state/shsettings/settings.go
@@ -47,6 +47,10 @@
 	// OperatorTokenFile holds the bearer token of the operator interface. It
 	// must not be readable by other users of the VM.
 	OperatorTokenFile string `json:"operatorTokenFile"`
+	// MemoryMB and MaxFDs are the memory, in MiB, and the file descriptors that the
+	// process may use; zero means no limit.
+	MemoryMB int `json:"memoryMb,omitempty"`
+	MaxFDs   int `json:"maxFds,omitempty"`
 	// Peers lists the VMs with the control or account role, including this VM if
 	// it has one.
 	Peers []Peer `json:"peers"`
--- a/state/shsettings/validate.go
+++ b/state/shsettings/validate.go
@@ -24,6 +24,11 @@
 	v.addresses()
 	v.peers()
 	v.ownPeer()
+	for path, value := range map[string]int{"/memoryMb": s.MemoryMB, "/maxFds": s.MaxFDs} {
+		if value < 0 {
+			v.add(path, "%d is negative", value)
+		}
+	}
 	return v.problems
 }
 
