Bound what a process holds for clients by the memory and descriptors of its VM

Bodies were read whole without a total bound, heads and connections were bounded by nothing, and the memory of an answer was given back before its caller had read it. One budget (coordination/shmemory) now takes connections, heads, bodies and answers, a step at a time; shlistener gives up connections without progress, then refuses.

--- a/transport/internal/shlistener/shlistener.go
+++ b/transport/internal/shlistener/shlistener.go
@@ -11,6 +11,11 @@
 // then reads and discards input until the client closes, as section 9.6 of RFC 9112
 // describes. This goes on in the background, within bounds of time and of bytes.
 //
+// With a Budget, what a connection holds is bounded, and it may be closed to make room
+// for others. A connection that does not fit is answered with status 503, which
+// promises that its request has not run. A client that takes nothing of an answer for
+// writeStall loses its connection.
+//
 // # Use
 //
 // Wrap a net.Listener and pass the Listener to http.Server.Serve. Call Shutdown in
@@ -27,6 +32,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"sequoiahollow/coordination/shmemory"
 )
 
 const (
@@ -39,24 +46,36 @@
 	waitInterval = 5 * time.Millisecond
 )
 
-// Listener accepts connections that linger when they are closed. Set the embedded
-// listener before use.
+// Listener accepts connections that linger when they are closed. Set the exported
+// fields before use. With a Budget, call Attach before the server serves.
 type Listener struct {
 	net.Listener
+	// Budget bounds what the connections hold; nil means no bound.
+	Budget    *shmemory.Budget
 	lingering atomic.Int64
+	refusing  atomic.Int64
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil
+		}
+		x := &conn{Conn: tcp, tcp: tcp, listener: l, accepted: time.Now()}
+		if l.Budget == nil {
+			return x, nil
+		}
+		if x.hold, err = l.Budget.Begin(x.accepted, x.giveUp); err == nil {
+			return x, nil
+		}
+		l.refuse(tcp)
 	}
-	return &conn{Conn: tcp, tcp: tcp, listener: l, accepted: time.Now()}, nil
 }
 
 // Shutdown shuts a server of this listener down gracefully: it waits for the
@@ -96,6 +115,11 @@
 	// ended says that the client has closed or that the connection has failed.
 	ended  atomic.Bool
 	closed atomic.Bool
+	// hold is nil without a Budget. inBody says that input belongs to a body.
+	hold   *shmemory.Hold
+	inBody atomic.Bool
+	// writeLimit is the deadline for output, in nanoseconds of Unix time, or zero.
+	writeLimit atomic.Int64
 }
 
 // Read implements net.Conn. After Close it returns net.ErrClosed and drops input
@@ -109,12 +133,20 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.ended.Store(true)
 	}
+	if n > 0 && c.hold != nil {
+		if holdErr := c.count(n); holdErr != nil {
+			return 0, holdErr
+		}
+	}
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writtenAt.Store(int64(time.Since(c.accepted)))
+	if c.hold != nil {
+		return c.writePieces(p)
+	}
 	return c.tcp.Write(p)
 }
 
@@ -127,16 +159,18 @@
 	if c.closed.Swap(true) {
 		return net.ErrClosed
 	}
+	// The input and the answer are not needed any more.
+	c.hold.Idle(time.Now())
 	written := c.writtenAt.Load()
 	if written == 0 || c.ended.Load() || time.Since(c.accepted)-time.Duration(written) > lingerTimeout {
-		return c.tcp.Close()
+		return c.end()
 	}
 	// Ends a Read that is in progress.
 	if err := c.tcp.SetReadDeadline(time.Now()); err != nil {
-		return errors.Join(err, c.tcp.Close())
+		return errors.Join(err, c.end())
 	}
 	if err := c.tcp.CloseWrite(); err != nil {
-		return errors.Join(err, c.tcp.Close())
+		return errors.Join(err, c.end())
 	}
 	c.listener.lingering.Add(1)
 	go c.linger()
@@ -147,7 +181,7 @@
 func (c *conn) linger() {
 	defer c.listener.lingering.Add(-1)
 	// The client sees any failure here as the end of the connection, which it is.
-	defer func() { _ = c.tcp.Close() }()
+	defer func() { _ = c.end() }()
 	if err := c.tcp.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
 		return
 	}
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -18,6 +18,7 @@
 
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shdirectory"
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/coordination/shreplication"
 	"sequoiahollow/coordination/shrouting"
 	"sequoiahollow/protocol/shwire"
@@ -197,6 +198,7 @@
 // serve starts the background loops and the listeners.
 func (d *daemon) serve(ctx context.Context) error {
 	d.http.init()
+	d.limitMemory(ctx)
 	peers, err := listen("tcp", d.settings.PeerAddress)
 	if err != nil {
 		return err
@@ -366,6 +368,8 @@
 
 // httpServers are the HTTP listeners of the process.
 type httpServers struct {
+	// budget bounds what is held for clients; nil means no bound.
+	budget  *shmemory.Budget
 	failed  chan error
 	servers map[string]httpServer
 }
@@ -393,7 +397,8 @@
 	if err != nil {
 		return fmt.Errorf("%s address: %w", name, err)
 	}
-	server := httpServer{shentry.NewServer(handler), &shlistener.Listener{Listener: l}}
+	server := httpServer{shentry.NewServer(handler), &shlistener.Listener{Listener: l, Budget: h.budget}}
+	server.accepts.Attach(server.Server)
 	h.servers[name] = server
 	go func() {
 		if err := server.Serve(server.accepts); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/transport/shdaemon/memory.go
@@ -0,0 +1,27 @@
+package shdaemon
+
+import (
+	"context"
+	"runtime/debug"
+
+	"sequoiahollow/coordination/shmemory"
+	"sequoiahollow/transport/internal/shlistener"
+)
+
+// memoryShare is the share of the memory in the settings that is the Go memory limit.
+const memoryShare = 0.6
+
+// limitMemory bounds what the process holds for clients by its settings. It must be
+// called before a listener opens.
+func (d *daemon) limitMemory(ctx context.Context) {
+	s := d.settings
+	if s.MemoryMB == 0 && s.MaxFDs == 0 {
+		return
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	}
+	d.http.budget = shmemory.NewBudget(s.MemoryMB, s.MaxFDs)
+	shlistener.AddMetrics(d.metrics, d.http.budget)
+	go shlistener.Report(ctx, d.http.budget, d.log)
+}
--- a/transport/shentry/caller.go
+++ b/transport/shentry/caller.go
@@ -15,6 +15,7 @@
 	"sequoiahollow/state/shconfig"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
+	"sequoiahollow/transport/internal/shlistener"
 	"sequoiahollow/transport/shaccount"
 	"sequoiahollow/transport/shview"
 )
@@ -24,6 +25,9 @@
 	maxKeyBytes    = 255
 	maxPathBytes   = 4 << 10
 	retryAfter     = time.Second
+	// bodyFactor is the memory that a request takes for each byte of its body: the body
+	// and the last copy of the buffer that grew to it.
+	bodyFactor = 2
 )
 
 // CallerHandler serves callers. It doesn't use http.ServeMux, which redirects
@@ -123,7 +127,12 @@
 		return nil, &rejection{http.StatusBadRequest, "malformed timeout", err.Error()}
 	}
 	q.Deadline = time.Now().Add(timeout)
+	shlistener.HoldBody(r, bodyFactor)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, service.Service.BodyLimit()))
+	if shlistener.IsShort(err) {
+		w.Header().Set("Connection", "close")
+		return nil, &rejection{http.StatusServiceUnavailable, "no memory", "the VM has no memory for the body now"}
+	}
 	if _, large := errors.AsType[*http.MaxBytesError](err); large {
 		return nil, &rejection{http.StatusRequestEntityTooLarge, "body too large", ""}
 	}
@@ -197,5 +206,9 @@
 	}
 	_ = e.append(record, shaccount.Copied)
 	e.Observe(record, false)
-	WriteProblem(w, problemOf(x.status, x.reason, x.detail, q.ID, shmodel.NotRun), 0)
+	after := time.Duration(0)
+	if x.status == http.StatusServiceUnavailable {
+		after = retryAfter
+	}
+	WriteProblem(w, problemOf(x.status, x.reason, x.detail, q.ID, shmodel.NotRun), after)
 }
--- a/transport/shentry/forward.go
+++ b/transport/shentry/forward.go
@@ -15,6 +15,7 @@
 	"sequoiahollow/coordination/shslot"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/internal/shlistener"
 )
 
 // Headers between entry VMs. Their values are base64-encoded JSON.
@@ -147,13 +148,19 @@
 		WriteProblem(w, problemOf(http.StatusBadRequest, "malformed forward", err.Error(), 0, ""), 0)
 		return
 	}
+	h := &forwardHandler{entry: e, request: f, writer: w, result: make(chan shrequest.Execution, 1), streams: make(chan *pendingStream)}
+	shlistener.HoldBody(r, bodyFactor)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxForwardBody))
+	if shlistener.IsShort(err) {
+		w.Header().Set("Connection", "close")
+		h.answer(r.Context(), shrequest.Execution{Outcome: shmodel.NotRun, Reason: shrequest.ReasonNoCapacity})
+		return
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	header := endToEndHeaders(r.Header)
 	header.Del(headerForward)
-	h := &forwardHandler{entry: e, request: f, writer: w, result: make(chan shrequest.Execution, 1), streams: make(chan *pendingStream)}
 	h.serve(r.Context(), payload{method: f.Request.Method, uri: f.URI, header: header, body: body})
 }
 
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -163,6 +163,7 @@
 		EchoHeader: h.Dialect.RequestID, TimeoutHeader: h.Dialect.Timeout,
 		MaySend:  func() bool { return h.Balancer.MaySend(time.Now(), c) },
 		Deadline: x.deadline, Once: x.route.Kind == shmodel.OnceOnly, StreamFrom: x.streamFrom(),
+		Hold: h.answerHold(x.request),
 	})
 	declined := x.observeStatements(c, response)
 	if err != nil {
@@ -191,6 +192,8 @@
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
 		x.finish(outcomeCanceled, 0, "the caller left")
 		panic(http.ErrAbortHandler)
+	case shorigin.KindNoMemory:
+		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
 	case shorigin.KindTimeout:
 		x.handler.Balancer.Done(now, c, shbalance.Slow{})
 	default:
--- a/transport/shfront/handler.go
+++ b/transport/shfront/handler.go
@@ -42,6 +42,10 @@
 	// Hold is called for a request with a body, before any of it is read. It returns the
 	// hold that bounds the memory of the body. With nil there is no bound.
 	Hold func(*http.Request) BodyHold
+	// HoldAnswer returns the hold that bounds the memory of the answers to a request.
+	// Its owner releases what is still reserved when the request has ended. With nil
+	// the bound of Origin holds.
+	HoldAnswer func(*http.Request) shorigin.AnswerHold
 	// Stall is how long a caller may be silent in a body. Zero means five seconds.
 	Stall time.Duration
 	// Place is where the VM runs; it goes into the account records.
@@ -66,6 +70,13 @@
 	x.serve()
 }
 
+func (h *Handler) answerHold(r *http.Request) shorigin.AnswerHold {
+	if h.HoldAnswer == nil {
+		return nil
+	}
+	return h.HoldAnswer(r)
+}
+
 // hopHeaders are the hop-by-hop headers, which are not forwarded.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
--- a/transport/shoperator/handlers.go
+++ b/transport/shoperator/handlers.go
@@ -15,6 +15,7 @@
 	"sequoiahollow/state/shdocument"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
+	"sequoiahollow/transport/internal/shlistener"
 )
 
 // mediaTypeJSON and mediaTypeLines are the media types of bodies.
@@ -23,6 +24,10 @@
 	mediaTypeLines = "application/x-ndjson"
 )
 
+// bodyFactor is the memory that a request takes for each byte of its body: the body, the
+// last copy of the buffer that grew to it, and what is parsed from it.
+const bodyFactor = 6
+
 // maxEditIDBytes bounds an edit ID, which the replicated state keeps.
 const maxEditIDBytes = 128
 
@@ -319,7 +324,12 @@
 	if err != nil || mediaType != mediaTypeJSON {
 		return nil, newError(KindMediaType, errors.New("the body must be "+mediaTypeJSON))
 	}
+	shlistener.HoldBody(r, bodyFactor)
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if shlistener.IsShort(err) {
+		w.Header().Set("Connection", "close")
+		return nil, newError(KindUnavailable, err)
+	}
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
 		return nil, newError(KindTooLarge, fmt.Errorf("the body is larger than %d bytes", limit))
 	}
--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -20,6 +20,11 @@
 // Client sends requests to backend servers and reuses connections. The zero value
 // is ready to use. A Client is safe for concurrent use.
 type Client struct {
+	// MaxConnections bounds the open connections; zero means no bound. Beyond it, idle
+	// connections are closed, and requests that need a new one are withheld.
+	MaxConnections int
+
+	open      atomic.Int64
 	mu        sync.Mutex
 	idle      map[string][]*conn
 	idleCount int
@@ -54,7 +59,7 @@
 	if x == nil {
 		var err error
 		began := time.Now()
-		if x, err = dial(ctx, address, r.Deadline); err != nil {
+		if x, err = c.dial(ctx, address, r.Deadline); err != nil {
 			return Response{}, err
 		}
 		x.held = &c.held
@@ -332,7 +337,7 @@
 				Status: answer.StatusCode, Header: answer.Header, Stream: answer.Body, Length: answer.ContentLength,
 			}, keep, nil
 		}
-		body, err := x.readBody(answer)
+		body, err := x.readBody(r, answer)
 		if err != nil {
 			return Response{Status: answer.StatusCode, Header: answer.Header}, false, transferError("read body", err)
 		}
@@ -343,16 +348,27 @@
 	return Response{}, false, &Error{Op: "read head", Kind: KindGarbled, Err: errors.New("answers to other requests only")}
 }
 
-// readBody reads a body that is held until it is complete. Beyond the first
-// bodyStep bytes it takes memory from what all such bodies share, a step at a time.
-// The steps are joined only at the end: a buffer that grows would leave as much
-// garbage again.
-func (x *conn) readBody(answer *http.Response) ([]byte, error) {
-	reserved := int64(0)
-	defer func() { x.held.Add(-reserved) }()
+// readBody reads a body that is held until it is complete. It takes memory a step at a
+// time. The steps are joined only at the end, for which memory is taken once more: a
+// buffer that grows would leave as much garbage again.
+func (x *conn) readBody(r Request, answer *http.Response) ([]byte, error) {
+	memory := r.Hold
+	if memory == nil {
+		shared := &sharedHold{held: x.held}
+		defer shared.release()
+		memory = shared
+	}
+	step := int64(bodyStep)
+	if n := answer.ContentLength; n >= 0 {
+		step = min(step, n)
+	}
+	if err := memory.Reserve(step); err != nil {
+		return nil, r.noMemory(0, err)
+	}
 	x.input.left = bodyStep + maxHead
 	first, err := io.ReadAll(io.LimitReader(answer.Body, bodyStep))
 	if err != nil || len(first) < bodyStep {
+		memory.Release(step - min(step, int64(len(first))))
 		return first, err
 	}
 	for steps := [][]byte{first}; ; {
@@ -360,9 +376,8 @@
 		if read >= maxBody {
 			return nil, fmt.Errorf("a body of %d bytes or more", maxBody)
 		}
-		reserved += bodyStep
-		if x.held.Add(bodyStep) > maxHeldBytes {
-			return nil, fmt.Errorf("no memory for a body of %d bytes or more", read)
+		if err := memory.Reserve(2 * bodyStep); err != nil {
+			return nil, r.noMemory(read, err)
 		}
 		step := make([]byte, bodyStep)
 		x.input.left = bodyStep + maxHead
@@ -372,7 +387,9 @@
 		case err != nil:
 			return nil, err
 		case n < bodyStep:
-			return bytes.Join(steps, nil), nil
+			body := bytes.Join(steps, nil)
+			memory.Release(int64(len(steps)-1) * bodyStep)
+			return body, nil
 		}
 	}
 }
@@ -402,7 +419,10 @@
 func transferError(op string, err error) *Error {
 	kind := KindGarbled
 	var netErr net.Error
+	var short noMemoryError
 	switch {
+	case errors.As(err, &short):
+		kind = KindNoMemory
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		kind = KindBroken
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
--- a/transport/shorigin/shorigin.go
+++ b/transport/shorigin/shorigin.go
@@ -93,6 +93,8 @@
 	KindGarbled Kind = "garbled"
 	// KindTimeout says that no complete answer arrived in time.
 	KindTimeout Kind = "timeout"
+	// KindNoMemory says that there was no memory to hold the answer.
+	KindNoMemory Kind = "no-memory"
 	// KindCanceled says that the context was canceled.
 	KindCanceled Kind = "canceled"
 	// KindBodyCut says that the rest of the request body could not be read. The backend
@@ -149,6 +151,9 @@
 	// connection is opened and again right before the request is written. Nil means
 	// always.
 	MaySend func() bool
+	// Hold bounds the memory of answers that are held; with nil, all that are read at a
+	// time share a bound.
+	Hold AnswerHold
 	// Once says that the request must not run twice.
 	Once bool
 	// StreamFrom is the length, in bytes, from which the body of a successful
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -42,6 +42,7 @@
 	log.Info("control VM started", "address", s.ControlAddress, "failureDomain", s.Zone,
 		"seeds", s.Seeds, "bootstrap", s.Bootstrap, "tolerateLosses", s.TolerateLosses)
 	background, cancel := context.WithCancel(context.Background())
+	go c.reportMemory(background)
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -12,6 +12,7 @@
 
 	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shfront"
@@ -60,6 +61,7 @@
 		Entry: e.announcement, Logger: log,
 		Changed: func(v shfleet.View) { e.balancer.Update(time.Now(), v) },
 	}
+	e.origin.MaxConnections = shmemory.MaxOutbound(freeFDs(s))
 	e.account = newAccountWriter(e.process, e.watcher)
 	e.addGauges()
 	handler := &shfront.Handler{
@@ -70,8 +72,12 @@
 		Dialect: options.Dialect, Balancer: e.balancer, Origin: e.origin, View: e.watcher.View,
 		Closing: e.closing.Load, Refusing: e.refusing.Load, Report: e.report, Metrics: e.metrics, Logger: log,
 	}
+	if e.budget != nil {
+		handler.Hold, handler.HoldAnswer = holdBody, holdAnswer
+	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go e.reportMemory(background)
 	go e.watcher.Run(background)
 	go e.account.run(background)
 	go e.sendReports(background)
--- /dev/null
+++ b/transport/shsteer/memory.go
@@ -0,0 +1,65 @@
+package shsteer
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"time"
+
+	"sequoiahollow/coordination/shmemory"
+	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/internal/shlistener"
+	"sequoiahollow/transport/shfront"
+	"sequoiahollow/transport/shorigin"
+)
+
+// reservedFDs is the number of descriptors that a fleet keeps for files on each VM.
+const reservedFDs = 200
+
+// freeFDs returns the descriptors for connections and files of the process, zero for no
+// bound.
+func freeFDs(s shsettings.Fleet) int {
+	if s.MaxFDs <= 2*reservedFDs {
+		return s.MaxFDs / 2
+	}
+	return s.MaxFDs - reservedFDs
+}
+
+// HoldBody makes the body of a request count factor bytes for each byte that is read,
+// for a handler that holds it whole. See IsShort.
+func HoldBody(r *http.Request, factor int64) { shlistener.HoldBody(r, factor) }
+
+// IsShort reports whether a body could not be read for lack of memory.
+func IsShort(err error) bool { return shlistener.IsShort(err) }
+
+// Refuse answers that a request has not run for lack of memory.
+func Refuse(w http.ResponseWriter) { shlistener.Refuse(w) }
+
+// purposeHold is the part of the hold of a connection that is for one purpose.
+type purposeHold struct {
+	hold    *shmemory.Hold
+	purpose shmemory.Purpose
+}
+
+// Reserve implements shfront.BodyHold and shorigin.AnswerHold.
+func (h purposeHold) Reserve(n int64) error {
+	err := h.hold.Reserve(time.Now(), h.purpose, n)
+	if e, ok := errors.AsType[*shmemory.Error](err); ok && e.Kind == shmemory.KindGivenUp {
+		return shfront.ErrGivenUp
+	}
+	return err
+}
+
+// Release implements shfront.BodyHold and shorigin.AnswerHold.
+func (h purposeHold) Release(n int64) { h.hold.Release(h.purpose, n) }
+
+// Close implements shfront.BodyHold.
+func (h purposeHold) Close() { h.Release(math.MaxInt64) }
+
+func holdBody(r *http.Request) shfront.BodyHold {
+	return purposeHold{shlistener.HoldOf(r.Context()), shmemory.Bodies}
+}
+
+func holdAnswer(r *http.Request) shorigin.AnswerHold {
+	return purposeHold{shlistener.HoldOf(r.Context()), shmemory.Answers}
+}
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -26,6 +26,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/internal/shlistener"
 	"sequoiahollow/transport/shpeer"
@@ -76,6 +77,8 @@
 	server  *shpeer.Server
 	http    []listener
 	failed  chan error
+	// budget bounds what is held for clients, nil if the settings have no limits.
+	budget *shmemory.Budget
 }
 
 // listener is an HTTP server and the listener that it serves.
@@ -89,11 +92,16 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	}
 	config := shpeer.Config{Self: s.PeerAddress(), Connections: 1, Logger: log}
-	return &process{
+	p := &process{
 		Settings: s, Log: log, metrics: metrics.NewSet(),
 		client: shpeer.NewClient(config), server: shpeer.NewServer(config),
 		failed: make(chan error, 1),
 	}
+	if s.MemoryMB > 0 || s.MaxFDs > 0 {
+		p.budget = shmemory.NewBudget(s.MemoryMB, freeFDs(s))
+		shlistener.AddMetrics(p.metrics, p.budget)
+	}
+	return p
 }
 
 // listenPeers serves the calls of other VMs at the peer address.
@@ -115,11 +123,12 @@
 	if err != nil {
 		return nil, err
 	}
-	accepts := &shlistener.Listener{Listener: l}
+	accepts := &shlistener.Listener{Listener: l, Budget: p.budget}
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
 	}
+	accepts.Attach(s)
 	p.http = append(p.http, listener{s, accepts})
 	go p.serveListener(func() error { return s.Serve(accepts) })
 	return s, nil
@@ -147,6 +156,13 @@
 	return err
 }
 
+// reportMemory logs until ctx ends what was refused for lack of memory.
+func (p *process) reportMemory(ctx context.Context) {
+	if p.budget != nil {
+		shlistener.Report(ctx, p.budget, p.Log)
+	}
+}
+
 // close closes all listeners and connections.
 func (p *process) close() error {
 	var errs []error
