--- a/transport/internal/shlistener/hold.go
+++ b/transport/internal/shlistener/hold.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"sequoiahollow/coordination/shmemory"
@@ -92,9 +94,20 @@
 			return
 		}
 		next.ServeHTTP(w, r)
+		x.release()
 	})
 }
 
+// release returns the memory of a request that was answered before its end: net/http
+// keeps the connection for a while.
+func (c *conn) release() {
+	for _, p := range purposes {
+		if p != shmemory.Connections && !c.hold.IsServing() {
+			c.hold.Release(p, math.MaxInt64)
+		}
+	}
+}
+
 // minAnswer is the room that a request needs to be accepted, in bytes.
 const minAnswer = 8 << 10
 
@@ -141,6 +154,7 @@
 func HoldBody(r *http.Request, factor int64) {
 	if b, ok := r.Body.(*body); ok {
 		b.factor = factor
+		b.hold.Expect(r.ContentLength * factor)
 	}
 }
 
@@ -217,7 +231,9 @@
 		n, err := c.tcp.Write(p[:min(writePiece, len(p))])
 		written += n
 		if err != nil {
-			c.hold.Count(shmemory.ClosedUnread)
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.hold.Count(shmemory.ClosedUnread)
+			}
 			return written, err
 		}
 		p = p[n:]
--- /dev/null
+++ b/transport/internal/shlistener/hold_test.go
@@ -0,0 +1,97 @@
+package shlistener_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sequoiahollow/coordination/shmemory"
+	"sequoiahollow/transport/internal/shlistener"
+)
+
+// serveHeld serves with a Budget and a handler that holds bodies whole.
+func serveHeld(t *testing.T, b *shmemory.Budget) string {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		shlistener.HoldBody(r, 2)
+		_, err := io.ReadAll(r.Body)
+		if shlistener.IsShort(err) {
+			shlistener.Refuse(w)
+		}
+	})}
+	l := &shlistener.Listener{Listener: inner, Budget: b}
+	l.Attach(s)
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return inner.Addr().String()
+}
+
+// exchange sends bytes on a new connection, which stays open, and returns the answer.
+func exchange(t *testing.T, address, text string) *http.Response {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { c.Close() })
+	go io.WriteString(c, text)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	return r
+}
+
+func assertRefused(t *testing.T, r *http.Response) {
+	t.Helper()
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, r.Header.Get("Retry-After") != "" && r.Close)
+}
+
+func post(size int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+}
+
+// Guards against clients without room that get no refusal, against requests that are
+// refused for what earlier ones have held, and against a connection that is closed
+// while its request is served.
+func TestRefusals(t *testing.T) {
+	t.Run("body", func(t *testing.T) {
+		b := &shmemory.Budget{Limit: 2 << 20}
+		address := serveHeld(t, b)
+		assertRefused(t, exchange(t, address, post(1<<20)))
+		for range 30 {
+			assert.Equal(t, exchange(t, address, post(50<<10)).StatusCode, http.StatusOK)
+		}
+	})
+	t.Run("head", func(t *testing.T) {
+		address := serveHeld(t, &shmemory.Budget{Limit: 64 << 10})
+		assertRefused(t, exchange(t, address, "GET / HTTP/1.1\r\nX: "+strings.Repeat("x", 40<<10)))
+	})
+	t.Run("connection", func(t *testing.T) {
+		address := serveHeld(t, &shmemory.Budget{MaxConnections: 1})
+		c, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		defer c.Close()
+		assertRefused(t, exchange(t, address, post(1)))
+	})
+	t.Run("idle connection", func(t *testing.T) {
+		b := &shmemory.Budget{MaxConnections: 8}
+		address := serveHeld(t, b)
+		for range 30 {
+			// The connections stay open. A connection ends a moment after it was given
+			// up, so a newcomer may be refused meanwhile.
+			if r := exchange(t, address, post(1)); r.StatusCode != http.StatusOK {
+				assertRefused(t, r)
+			}
+		}
+		assert.Assert(t, b.Stats().Counts[shmemory.ClosedIdle] > 0)
+		assert.Assert(t, b.Stats().Connections <= 9)
+	})
+}
--- a/transport/shbackend/server.go
+++ b/transport/shbackend/server.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -48,7 +49,10 @@
 )
 
 const (
-	maxBodyBytes      = 16 << 20
+	maxBodyBytes = 16 << 20
+	// maxHeldBytes bounds what the bodies that are being read or held may take, in
+	// bytes. A request beyond it is not run.
+	maxHeldBytes      = 64 << 20
 	readHeaderTimeout = 5 * time.Second
 	slowFactor        = 20
 	// attemptRetention is how long attempts that have ended or were cancelled are
@@ -126,6 +130,7 @@
 	listener  net.Listener
 	announcer announcer
 	leaving   atomic.Bool
+	held      atomic.Int64 // bytes of bodies
 
 	mu       sync.Mutex
 	inFlight int
@@ -186,7 +191,15 @@
 		return
 	}
 	w.Header().Set(shwire.HeaderRequestID, id.request.String())
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	held := &heldBody{Reader: http.MaxBytesReader(w, r.Body, maxBodyBytes), total: &s.held}
+	defer held.release()
+	body, err := io.ReadAll(held)
+	if errors.Is(err, errNoMemory) {
+		w.Header().Set("Connection", "close")
+		w.Header().Set(shwire.HeaderOutcome, string(shmodel.NotRun))
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -214,6 +227,27 @@
 	s.answer(w, r, id, body)
 }
 
+var errNoMemory = errors.New("no memory for the body")
+
+// heldBody counts what is read in a total until release.
+type heldBody struct {
+	io.Reader
+	total *atomic.Int64
+	read  int64
+}
+
+// Read implements io.Reader.
+func (b *heldBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.read += int64(n)
+	if b.total.Add(int64(n)) > maxHeldBytes {
+		return 0, errNoMemory
+	}
+	return n, err
+}
+
+func (b *heldBody) release() { b.total.Add(-b.read) }
+
 // admit takes a slot, or returns the reason why the request is not run.
 func (s *Server) admit(r *http.Request, id attemptID) (context.Context, string) {
 	s.mu.Lock()
