--- a/coordination/shmemory/shmemory.go
+++ b/coordination/shmemory/shmemory.go
@@ -18,9 +18,7 @@
 //
 // Connections that hold more than smallHold get three quarters of the limit, new
 // requests seven eighths, and the answers of requests that are served all of it: large
-// bodies cannot keep out small requests, and neither can keep out answers. A large body
-// of stated length begins only while half of the limit is free, so that those that have
-// begun can end, rather than all being refused on the way.
+// bodies cannot keep out small requests, and neither can keep out answers.
 //
 // # Use
 //
@@ -153,10 +151,8 @@
 	// when it is idle. input counts the bytes since.
 	progressAt time.Time
 	input      int64
-	// expected is what the body of the request will take.
-	expected int64
-	givenUp  bool
-	closed   bool
+	givenUp    bool
+	closed     bool
 }
 
 // Begin takes room for a connection. evict closes the connection; it must not block
@@ -242,16 +238,6 @@
 	}
 }
 
-// Expect says what the body of the request will take, in bytes.
-func (h *Hold) Expect(n int64) {
-	if h == nil {
-		return
-	}
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	h.expected = n
-}
-
 // Receiving says that the body of a request is still to come.
 func (h *Hold) Receiving(now time.Time) { h.enter(now, receiving) }
 
@@ -287,9 +273,6 @@
 		return false
 	}
 	h.phase = p
-	if p == idle {
-		h.expected = 0
-	}
 	if !now.IsZero() {
 		h.progressAt, h.input = now, 0
 	}
@@ -353,8 +336,6 @@
 	switch {
 	case p == Answers:
 		return b.Limit
-	case p == Bodies && h.held[Bodies] == 0 && h.total+h.expected > smallHold:
-		return b.Limit / 2
 	case h.total+n > smallHold:
 		return b.Limit / 4 * 3
 	}
--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -113,19 +113,12 @@
 	}
 	for name, value := range map[string]float64{
 		"retryShare": f.RetryShare, "retrySlack": f.RetrySlack, "retryWindowSeconds": f.RetryWindowSeconds,
+		"tolerateLosses": float64(f.TolerateLosses), "memoryMb": float64(f.MemoryMB), "maxFds": float64(f.MaxFDs),
 	} {
 		if value < 0 {
 			report(name, "%v is negative", value)
 		}
 	}
-	for name, value := range map[string]int{"memoryMb": f.MemoryMB, "maxFds": f.MaxFDs} {
-		if value < 0 {
-			report(name, "%d is negative", value)
-		}
-	}
-	if f.TolerateLosses < 0 {
-		report("tolerateLosses", "is negative")
-	}
 	return problems
 }
 
--- a/transport/internal/shlistener/hold.go
+++ b/transport/internal/shlistener/hold.go
@@ -21,6 +21,10 @@
 	// writeStall. The time bears two lost packets in a row.
 	writePiece = 64 << 10
 	writeStall = 5 * time.Second
+	// writeRate is the rate, in bytes per second, at which a client must take what is
+	// written at a time beyond writeStall. It gives 14 s to an answer of 540 KB, the
+	// largest that are held in the deployments.
+	writeRate = 64 << 10
 	// passedOn is the part of a body, in bytes, after which a handler may have sent
 	// the request to a backend server. shfront holds as much of a body.
 	passedOn = 1 << 20
@@ -154,7 +158,6 @@
 func HoldBody(r *http.Request, factor int64) {
 	if b, ok := r.Body.(*body); ok {
 		b.factor = factor
-		b.hold.Expect(r.ContentLength * factor)
 	}
 }
 
@@ -220,8 +223,12 @@
 // writePieces writes in pieces, each with its own deadline, so that a client that takes
 // nothing does not keep what is held for it.
 func (c *conn) writePieces(p []byte) (written int, err error) {
+	whole := time.Now().Add(writeStall + time.Duration(len(p))*time.Second/writeRate)
 	for len(p) > 0 {
 		limit := time.Now().Add(writeStall)
+		if whole.Before(limit) {
+			limit = whole
+		}
 		if own := c.writeLimit.Load(); own != 0 && own < limit.UnixNano() {
 			limit = time.Unix(0, own)
 		}
--- a/transport/internal/shlistener/hold_test.go
+++ b/transport/internal/shlistener/hold_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/transport/internal/shlistener"
@@ -95,3 +96,27 @@
 		assert.Assert(t, b.Stats().Connections <= 9)
 	})
 }
+
+// Guards against what is held for good for a client that takes nothing of its answer.
+func TestUnreadAnswer(t *testing.T) {
+	t.Parallel()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	b := &shmemory.Budget{Limit: 1 << 20}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 32<<20))
+	})}
+	l := &shlistener.Listener{Listener: inner, Budget: b}
+	l.Attach(s)
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	c := dialSmallWindow(t, inner.Addr().String())
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s := b.Stats(); s.Counts[shmemory.ClosedUnread] > 0 && s.Connections == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("%+v", b.Stats())
+	}, poll.WithTimeout(time.Minute))
+}
--- a/transport/shsteer/memory.go
+++ b/transport/shsteer/memory.go
@@ -16,9 +16,6 @@
 // reservedFDs is the number of descriptors that a fleet keeps for files on each VM.
 const reservedFDs = 200
 
-// heldBody is how much of a body shfront holds, in bytes.
-const heldBody = 1 << 20
-
 // freeFDs returns the descriptors for connections and files of the process, zero for no
 // bound.
 func freeFDs(s shsettings.Fleet) int {
@@ -60,9 +57,7 @@
 func (h purposeHold) Close() { h.Release(math.MaxInt64) }
 
 func holdBody(r *http.Request) shfront.BodyHold {
-	hold := shlistener.HoldOf(r.Context())
-	hold.Expect(min(r.ContentLength, heldBody))
-	return purposeHold{hold, shmemory.Bodies}
+	return purposeHold{shlistener.HoldOf(r.Context()), shmemory.Bodies}
 }
 
 func holdAnswer(r *http.Request) shorigin.AnswerHold {
