--- a/transport/internal/shlistener/hold.go
+++ b/transport/internal/shlistener/hold.go
@@ -1,9 +1,11 @@
 package shlistener
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
@@ -36,8 +38,8 @@
 	maxRefused = 64 << 10
 )
 
-// refusal is the answer on a connection that does not fit.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// refusal is the answer on a connection that does not fit, without the end of its head.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n"
 
 // connKey and holdKey are the keys of a *conn and of its hold in a context.
 type (
@@ -94,6 +96,7 @@
 		// A request takes room for its answer, which comes when it can no longer be
 		// refused.
 		if err := x.hold.Reserve(time.Now(), shmemory.Heads, minAnswer); err != nil {
+			maps.Copy(w.Header(), x.listener.Refusal)
 			Refuse(w)
 			return
 		}
@@ -178,16 +181,20 @@
 		defer l.refusing.Add(-1)
 		// The client sees any failure here as the end of the connection, which it is.
 		defer func() { _ = c.Close() }()
-		writeRefusal(c)
+		l.writeRefusal(c)
 		_, _ = io.CopyN(io.Discard, c, maxRefused)
 	}()
 }
 
-func writeRefusal(c *net.TCPConn) {
+func (l *Listener) writeRefusal(c *net.TCPConn) {
 	if c.SetDeadline(time.Now().Add(refuseTimeout)) != nil {
 		return
 	}
-	if _, err := io.WriteString(c, refusal); err == nil {
+	var b bytes.Buffer
+	b.WriteString(refusal)
+	_ = l.Refusal.Write(&b)
+	b.WriteString("\r\n")
+	if _, err := c.Write(b.Bytes()); err == nil {
 		_ = c.CloseWrite()
 	}
 }
@@ -213,7 +220,7 @@
 	}
 	if err := c.hold.Reserve(now, shmemory.Heads, int64(n)*headFactor); err != nil {
 		if !c.closed.Load() {
-			writeRefusal(c.tcp)
+			c.listener.writeRefusal(c.tcp)
 		}
 		return err
 	}
--- a/transport/internal/shlistener/hold_test.go
+++ b/transport/internal/shlistener/hold_test.go
@@ -29,7 +29,7 @@
 			shlistener.Refuse(w)
 		}
 	})}
-	l := &shlistener.Listener{Listener: inner, Budget: b}
+	l := &shlistener.Listener{Listener: inner, Budget: b, Refusal: http.Header{"Outcome": {"not-run"}}}
 	l.Attach(s)
 	go s.Serve(l)
 	t.Cleanup(func() { s.Close() })
@@ -73,7 +73,9 @@
 	})
 	t.Run("head", func(t *testing.T) {
 		address := serveHeld(t, &shmemory.Budget{Limit: 64 << 10})
-		assertRefused(t, exchange(t, address, "GET / HTTP/1.1\r\nX: "+strings.Repeat("x", 40<<10)))
+		r := exchange(t, address, "GET / HTTP/1.1\r\nX: "+strings.Repeat("x", 40<<10))
+		assertRefused(t, r)
+		assert.Equal(t, r.Header.Get("Outcome"), "not-run")
 	})
 	t.Run("connection", func(t *testing.T) {
 		address := serveHeld(t, &shmemory.Budget{MaxConnections: 1})
--- a/transport/internal/shlistener/shlistener.go
+++ b/transport/internal/shlistener/shlistener.go
@@ -51,7 +51,9 @@
 type Listener struct {
 	net.Listener
 	// Budget bounds what the connections hold; nil means no bound.
-	Budget    *shmemory.Budget
+	Budget *shmemory.Budget
+	// Refusal is added to the header of refusals that the Listener makes itself.
+	Refusal   http.Header
 	lingering atomic.Int64
 	refusing  atomic.Int64
 }
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -397,7 +397,7 @@
 	if err != nil {
 		return fmt.Errorf("%s address: %w", name, err)
 	}
-	server := httpServer{shentry.NewServer(handler), &shlistener.Listener{Listener: l, Budget: h.budget}}
+	server := httpServer{shentry.NewServer(handler), &shlistener.Listener{Listener: l, Budget: h.budget, Refusal: refusal()}}
 	server.accepts.Attach(server.Server)
 	h.servers[name] = server
 	go func() {
--- a/transport/shdaemon/memory.go
+++ b/transport/shdaemon/memory.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"runtime/debug"
 
 	"sequoiahollow/coordination/shmemory"
+	"sequoiahollow/protocol/shwire"
+	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/internal/shlistener"
 )
 
@@ -25,3 +28,8 @@
 	shlistener.AddMetrics(d.metrics, d.http.budget)
 	go shlistener.Report(ctx, d.http.budget, d.log)
 }
+
+// refusal tells clients that a request that was refused for lack of memory has not run.
+func refusal() http.Header {
+	return http.Header{shwire.HeaderOutcome: {string(shmodel.NotRun)}}
+}
--- a/transport/shentry/forward.go
+++ b/transport/shentry/forward.go
@@ -115,6 +115,11 @@
 // receiveForward turns the answer of another entry VM into a result.
 func (c *receiverDriver) receiveForward(attempt uint32, in IncomingAnswer) shrequest.Result {
 	var x shrequest.Execution
+	if in.Status == http.StatusServiceUnavailable && in.Header.Get(headerExecution) == "" &&
+		in.Header.Get(shwire.HeaderOutcome) == string(shmodel.NotRun) {
+		// The other entry VM had no memory for the request.
+		return shrequest.Executed{Execution: shrequest.Execution{Outcome: shmodel.NotRun, Reason: shrequest.ReasonNoCapacity}}
+	}
 	if err := decodeHeader(in.Header.Get(headerExecution), &x); err != nil {
 		if in.Rest != nil {
 			_ = in.Rest.Close()
