--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -61,13 +61,9 @@
 	if x == nil {
 		var err error
 		began := time.Now()
-		if x, err = c.dial(ctx, address, r.Deadline); err != nil && ctx.Err() != nil {
-			return Response{}, &Error{Op: "dial", Kind: KindCanceled, Err: context.Cause(ctx)}
-		}
-		if err != nil {
+		if x, err = c.dial(ctx, address, r.Deadline); err != nil {
 			return Response{}, err
 		}
-		x.held = &c.held
 		connect = time.Since(began)
 	}
 	stop := context.AfterFunc(ctx, func() { x.Close() })
--- a/transport/shorigin/hold.go
+++ b/transport/shorigin/hold.go
@@ -55,8 +55,12 @@
 	x, err := dial(ctx, address, deadline)
 	if err != nil {
 		c.open.Add(-1)
+		if ctx.Err() != nil {
+			err = &Error{Op: "dial", Kind: KindCanceled, Err: context.Cause(ctx)}
+		}
 		return nil, err
 	}
+	x.held = &c.held
 	x.Conn = &countedConn{Conn: x.Conn, open: &c.open}
 	return x, nil
 }
