--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -42,9 +42,10 @@
 	// that the process may have open; zero means no limit.
 	MemoryMB int `json:"memoryMb"`
 	MaxFDs   int `json:"maxFds"`
-	// ShareKeyHomes says that entry VMs tell each other in which region a key has its
+	// ShareLoad says that entry VMs tell each other, through the leader, how many
+	// requests they have at each backend server and in which region a key has its
 	// backend servers.
-	ShareKeyHomes bool `json:"shareKeyHomes"`
+	ShareLoad bool `json:"shareLoad"`
 	// RetryShare, RetrySlack and RetryWindowSeconds bound the retries that all
 	// entry VMs together make for a service: in any window, RetryShare of its
 	// requests plus RetrySlack. A window of zero selects the defaults of shfront.
