--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -38,7 +38,10 @@
 	StopSeconds float64 `json:"stopSeconds"`
 	// CacheSeconds is how long callers may use an answer of the directory.
 	CacheSeconds float64 `json:"cacheSeconds"`
-	MemoryMB     int     `json:"memoryMb"`
+	// MemoryMB and MaxFDs are the memory of the VM in MiB and the file descriptors
+	// that the process may have open; zero means no limit.
+	MemoryMB int `json:"memoryMb"`
+	MaxFDs   int `json:"maxFds"`
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, zero for no bound.
 	LinkMbps float64 `json:"linkMbps"`
 	// ShareLoad says that entry VMs tell each other, through the leader, how many
@@ -142,6 +145,7 @@
 func (f Fleet) validateRepeats(report func(field, format string, args ...any)) {
 	for name, value := range map[string]float64{
 		"retryShare": f.RetryShare, "retrySlack": f.RetrySlack, "retryWindowSeconds": f.RetryWindowSeconds,
+		"memoryMb": float64(f.MemoryMB), "maxFds": float64(f.MaxFDs),
 		"revokeSeconds":      f.RevokeSeconds,
 		"quotaWindowSeconds": f.QuotaWindowSeconds, "quotaOver": f.QuotaOver, "quotaSlack": f.QuotaSlack,
 	} {
--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -25,6 +25,11 @@
 	// Link is the network link of the VM.
 	Link Link
 
+	// MaxConnections bounds the open connections; zero means no bound. Beyond it, idle
+	// connections are closed, and requests that need a new one are withheld.
+	MaxConnections int
+
+	open      atomic.Int64
 	mu        sync.Mutex
 	idle      map[string][]*conn
 	idleCount int
@@ -55,7 +60,7 @@
 	if err := r.checkMaySend(); err != nil {
 		return Response{}, err
 	}
-	x, connect, err := c.open(ctx, address, r)
+	x, connect, err := c.connection(ctx, address, r)
 	if err != nil {
 		return Response{}, err
 	}
@@ -85,21 +90,18 @@
 	return response, err
 }
 
-// open returns a connection to a backend server and the time that it took to open it,
+// connection returns a connection to a backend server and the time that it took to open it,
 // zero for an idle one.
-func (c *Client) open(ctx context.Context, address string, r Request) (*conn, time.Duration, error) {
+func (c *Client) connection(ctx context.Context, address string, r Request) (*conn, time.Duration, error) {
 	if x := c.idleConn(address, r.Once); x != nil {
 		return x, 0, nil
 	}
 	began := time.Now()
-	x, err := dial(ctx, address, min(c.Link.dialTimeout(), time.Until(r.Deadline)))
-	switch {
-	case err != nil && ctx.Err() != nil:
-		return nil, 0, &Error{Op: "dial", Kind: KindCanceled, Err: context.Cause(ctx)}
-	case err != nil:
+	x, err := c.dial(ctx, address, min(c.Link.dialTimeout(), time.Until(r.Deadline)))
+	if err != nil {
 		return nil, 0, err
 	}
-	x.held, x.link = &c.held, &c.Link
+	x.link = &c.Link
 	return x, max(time.Since(began), 1), nil
 }
 
@@ -352,7 +354,7 @@
 				Status: answer.StatusCode, Header: answer.Header, Stream: answer.Body, Length: answer.ContentLength,
 			}, keep, nil
 		}
-		body, err := x.readBody(answer)
+		body, err := x.readBody(r, answer)
 		if err != nil {
 			return Response{Status: answer.StatusCode, Header: answer.Header}, false, transferError("read body", err)
 		}
@@ -368,16 +370,27 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// readBody reads a body that is held until it is complete. Beyond the first
-// bodyStep bytes it takes memory from what all such bodies share, a step at a time.
-// The steps are joined only at the end: a buffer that grows would leave as much
-// garbage again.
-func (x *conn) readBody(answer *http.Response) ([]byte, error) {
-	reserved := int64(0)
-	defer func() { x.held.Add(-reserved) }()
+// readBody reads a body that is held until it is complete. It takes memory a step at a
+// time. The steps are joined only at the end, for which memory is taken once more: a
+// buffer that grows would leave as much garbage again.
+func (x *conn) readBody(r Request, answer *http.Response) ([]byte, error) {
+	memory := r.Hold
+	if memory == nil {
+		shared := &sharedHold{held: x.held}
+		defer shared.release()
+		memory = shared
+	}
+	step := int64(bodyStep)
+	if n := answer.ContentLength; n >= 0 {
+		step = min(step, n)
+	}
+	if err := memory.Reserve(step); err != nil {
+		return nil, r.noMemory(0, err)
+	}
 	x.input.left = bodyStep + maxHead
 	first, err := io.ReadAll(io.LimitReader(answer.Body, bodyStep))
 	if err != nil || len(first) < bodyStep {
+		memory.Release(step - min(step, int64(len(first))))
 		return first, err
 	}
 	for steps := [][]byte{first}; ; {
@@ -385,9 +398,8 @@
 		if read >= maxBody {
 			return nil, fmt.Errorf("a body of %d bytes or more", maxBody)
 		}
-		reserved += bodyStep
-		if x.held.Add(bodyStep) > maxHeldBytes {
-			return nil, fmt.Errorf("no memory for a body of %d bytes or more", read)
+		if err := memory.Reserve(2 * bodyStep); err != nil {
+			return nil, r.noMemory(read, err)
 		}
 		step := make([]byte, bodyStep)
 		x.input.left = bodyStep + maxHead
@@ -397,7 +409,9 @@
 		case err != nil:
 			return nil, err
 		case n < bodyStep:
-			return bytes.Join(steps, nil), nil
+			body := bytes.Join(steps, nil)
+			memory.Release(int64(len(steps)-1) * bodyStep)
+			return body, nil
 		}
 	}
 }
@@ -427,7 +441,10 @@
 func transferError(op string, err error) *Error {
 	kind := KindGarbled
 	var netErr net.Error
+	var short noMemoryError
 	switch {
+	case errors.As(err, &short):
+		kind = KindNoMemory
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		kind = KindBroken
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -12,6 +12,7 @@
 
 	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shfront"
@@ -69,6 +70,7 @@
 		},
 		RevokeWithin: shsettings.Seconds(s.RevokeSeconds),
 	}
+	e.origin.MaxConnections = shmemory.MaxOutbound(freeFDs(s))
 	e.account = newAccountWriter(e.process, e.watcher)
 	e.addGauges()
 	handler := &shfront.Handler{
@@ -80,8 +82,12 @@
 		Closing: e.closing.Load, Refusing: e.refusing.Load, Report: e.report, Metrics: e.metrics, Logger: log,
 		KeysUntil: e.keysUntil(),
 	}
+	if e.budget != nil {
+		handler.Hold, handler.HoldAnswer = holdBody, holdAnswer
+	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go e.reportMemory(background)
 	e.keepAllowances(background, handler)
 	go e.watcher.Run(background)
 	go e.account.run(background)
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -26,6 +26,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/internal/shlistener"
 	"sequoiahollow/transport/internal/shpipeline"
@@ -77,6 +78,8 @@
 	server  *shpeer.Server
 	http    []listener
 	failed  chan error
+	// budget bounds what is held for clients, nil if the settings have no limits.
+	budget *shmemory.Budget
 }
 
 // listener is an HTTP server and the listener that it serves.
@@ -105,11 +108,16 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	}
 	config := shpeer.Config{Self: s.PeerAddress(), Connections: 1, Logger: log}
-	return &process{
+	p := &process{
 		Settings: s, Log: log, metrics: metrics.NewSet(),
 		client: shpeer.NewClient(config), server: shpeer.NewServer(config),
 		failed: make(chan error, 1),
 	}
+	if s.MemoryMB > 0 || s.MaxFDs > 0 {
+		p.budget = shmemory.NewBudget(s.MemoryMB, freeFDs(s))
+		shlistener.AddMetrics(p.metrics, p.budget)
+	}
+	return p
 }
 
 // listenPeers serves the calls of other VMs at the peer address.
@@ -137,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	accepts := &shlistener.Listener{Listener: l}
+	accepts := &shlistener.Listener{Listener: l, Budget: p.budget}
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
@@ -146,10 +154,11 @@
 	var served net.Listener = accepts
 	if mayOverlap != nil {
 		x.pipeline = &shpipeline.Listener{
-			Listener: accepts, MayOverlap: mayOverlap, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeadBytes: maxHeaderBytes,
+			Listener: accepts, MayOverlap: p.overlapRoom(mayOverlap), HeadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeadBytes: maxHeaderBytes,
 		}
 		s.ConnState, s.ConnContext, served = x.pipeline.ConnState, x.pipeline.ConnContext, x.pipeline
 	}
+	accepts.Attach(s)
 	p.http = append(p.http, x)
 	go p.serveListener(func() error { return s.Serve(served) })
 	return s, nil
@@ -177,6 +186,13 @@
 	return err
 }
 
+// reportMemory logs until ctx ends what was refused for lack of memory.
+func (p *process) reportMemory(ctx context.Context) {
+	if p.budget != nil {
+		shlistener.Report(ctx, p.budget, p.Log)
+	}
+}
+
 // close closes all listeners and connections.
 func (p *process) close() error {
 	var errs []error
