--- a/transport/shorigin/link.go
+++ b/transport/shorigin/link.go
@@ -49,19 +49,20 @@
 	return min(dialTimeout+ahead, maxDialTimeout)
 }
 
-// take takes up to n bytes and returns how many may be written after a pause.
-func (l *Link) take(now time.Time, n int) (taken int, pause time.Duration) {
+// take takes n bytes, a piece at most, or returns the pause after which to try again.
+// It does not take a part of them: small packets would fill the link with their heads.
+func (l *Link) take(now time.Time, n int) (pause time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.limited {
 		l.limited = true
 		l.bucket.SetLimit(now, int64(bodyLinkShare*float64(l.BitsPerSecond)))
 	}
-	if taken := l.bucket.Take(now, int64(n)); taken > 0 {
-		return int(taken), 0
+	if pause, _ := l.bucket.Wait(now, int64(n)); pause > 0 {
+		return max(pause, time.Millisecond)
 	}
-	pause, _ = l.bucket.Wait(now, int64(min(n, linkPiece)))
-	return 0, max(pause, time.Millisecond)
+	l.bucket.Take(now, int64(n))
+	return 0
 }
 
 // write writes a long message at the pace of the link.
@@ -72,8 +73,8 @@
 	}
 	for _, p := range message {
 		for len(p) > 0 {
-			n, pause := l.take(time.Now(), min(len(p), linkPiece))
-			if n == 0 {
+			n := min(len(p), linkPiece)
+			if pause := l.take(time.Now(), n); pause > 0 {
 				time.Sleep(pause)
 				continue
 			}
--- a/transport/shorigin/link_test.go
+++ b/transport/shorigin/link_test.go
@@ -16,15 +16,27 @@
 	end := now.Add(10 * time.Second)
 	written := 0
 	for now.Before(end) {
-		n, pause := l.take(now, linkPiece)
-		assert.Assert(t, n <= linkPiece)
-		written += n
+		pause := l.take(now, linkPiece)
+		if pause == 0 {
+			written += linkPiece
+		}
 		now = now.Add(pause)
 	}
 	share := float64(written) * 8 / 10 / float64(l.BitsPerSecond)
 	assert.Assert(t, share > 0.6 && share <= bodyLinkShare, "%.2f of the link", share)
 }
 
+// Load: many long bodies at a time. Guards against packets of a few bytes, of which each
+// body takes what is there.
+func TestLinkPieces(t *testing.T) {
+	l := Link{BitsPerSecond: 2_600_000}
+	now := time.Unix(1_700_000_000, 0)
+	for l.take(now, linkPiece) > 0 {
+		now = now.Add(time.Millisecond)
+	}
+	assert.Assert(t, l.take(now.Add(time.Millisecond), linkPiece) > 0, "a part of a piece was taken")
+}
+
 // Guards against backend servers that count as unreachable because an opening packet
 // waits behind long bodies, and against a longer timeout where there are none.
 func TestDialTimeout(t *testing.T) {
