--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -217,6 +217,7 @@
 		EchoHeader: h.Dialect.RequestID, TimeoutHeader: h.Dialect.Timeout,
 		MaySend:  x.maySend(c),
 		Deadline: x.deadline, Once: x.route.Kind == shmodel.OnceOnly, StreamFrom: x.streamFrom(),
+		Hold: h.answerHold(x.request),
 	}
 }
 
@@ -252,6 +253,8 @@
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
 		x.finish(outcomeCanceled, 0, "the caller left")
 		x.abort()
+	case shorigin.KindNoMemory:
+		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
 	case shorigin.KindTimeout:
 		x.handler.Balancer.Done(now, c, shbalance.Slow{})
 	default:
