Bridge the loss of the leader for large teams

With each answer an entry VM gets a rate that it may use from 0.5 to 2.5 s after its ask if no later ask is answered. TestBridges fails if the leader does not count bridges or does not assume those of the last one.

--- a/coordination/shquota/account.go
+++ b/coordination/shquota/account.go
@@ -62,6 +62,8 @@
 	Asked   uint64
 	Granted uint64
 	Expired uint64
+	// Bridged and Spare count requests that passed without the leader.
+	Bridged uint64
 	Spare   uint64
 	// Refused counts requests refused because the allowance is used up, Cut those
 	// refused because the leader did not answer.
@@ -76,6 +78,7 @@
 	limit  Limit
 	plan   Plan
 	lots   []*lot
+	bridge *heldBridge
 	spare  bucket
 	demand float64 // requests per second
 	metAt  time.Time
@@ -126,9 +129,9 @@
 
 // Ticket stands for the token that a request has taken. The zero value stands for none.
 type Ticket struct {
-	lot   *lot
-	spare *bucket
-	stamp uint64
+	lot    *lot
+	bucket *bucket
+	stamp  uint64
 }
 
 // Update sets the allowances of the teams that have one and the VMs that are entry
@@ -150,6 +153,7 @@
 			continue
 		}
 		h.limit, h.plan = limit, a.Rules.Plan(limit)
+		h.spare.refill(now, 0)
 		h.spare.set(now, a.spareOf(name, h.plan))
 	}
 }
@@ -196,11 +200,15 @@
 		return Passed{Ticket{lot: first}}
 	}
 	waited := now.Sub(r.At)
-	h.spare.refill(now)
+	if t, ok := h.bridge.take(now); ok {
+		a.stats.Bridged++
+		return Passed{t}
+	}
 	if a.cut || waited >= spareAfter {
+		h.spare.refill(now, 0)
 		if n, stamp := h.spare.take(now, 1); n == 1 {
 			a.stats.Spare++
-			return Passed{Ticket{spare: &h.spare, stamp: stamp}}
+			return Passed{Ticket{bucket: &h.spare, stamp: stamp}}
 		}
 	}
 	// A request is refused only after an ask for it, so that refusals do not keep the
@@ -226,9 +234,9 @@
 // Return gives back the token of a request that has certainly not run.
 func (a *Account) Return(now time.Time, t Ticket) {
 	switch {
-	case t.spare != nil:
-		t.spare.refill(now)
-		t.spare.giveBack(1, t.stamp)
+	case t.bucket != nil:
+		t.bucket.refill(now, 0)
+		t.bucket.giveBack(1, t.stamp)
 	case t.lot != nil && now.Before(t.lot.until):
 		t.lot.tokens++
 	}
@@ -244,14 +252,18 @@
 		return Ask{}, 0, false
 	}
 	var wants []Want
+	pause := time.Duration(0)
 	for name, h := range a.teams {
-		if w := a.want(now, h); w.Waiting > 0 || w.Ahead > 0 {
+		renewIn := h.bridge.renewIn(now)
+		if w := a.want(now, h); w.Waiting > 0 || w.Ahead > 0 || h.bridge != nil && renewIn <= 0 {
 			w.Team = name
 			wants = append(wants, w)
+		} else if h.bridge != nil && (pause == 0 || renewIn < pause) {
+			pause = renewIn
 		}
 	}
 	if len(wants) == 0 {
-		return Ask{}, 0, false
+		return Ask{}, pause, false
 	}
 	slices.SortFunc(wants, func(x, y Want) int { return cmp.Compare(x.Team, y.Team) })
 	if left := a.interval() - now.Sub(a.sentAt); left > 0 {
@@ -285,6 +297,10 @@
 		if g.WaitMS > 0 {
 			h.emptyUntil = now.Add(time.Duration(g.WaitMS) * time.Millisecond)
 		}
+		h.bridge = nil
+		if g.Bridge > 0 && now.Sub(a.sentAt) < bridgeAnswer {
+			h.bridge = newHeldBridge(Bridge{Leader: answer.Leader, Number: a.number, Rate: g.Bridge}, a.sentAt, h.plan.TokenLife)
+		}
 		if g.Tokens > 0 {
 			a.stats.Granted += uint64(g.Tokens)
 			h.lots = append(h.lots, &lot{
@@ -307,7 +323,17 @@
 	h.meet(now)
 	tokens, _ := h.tokens()
 	w := Want{Waiting: max(h.waiting-tokens, 0), Refused: h.refused, Unused: h.unused, Stamp: h.stamp}
+	if h.bridge != nil && !now.Before(h.bridge.until) {
+		h.bridge = nil
+	}
+	if h.bridge != nil {
+		held := h.bridge.Bridge
+		w.Bridge = &held
+	}
 	expected := h.demand * h.plan.TokenLife.Seconds() * aheadShare
+	if expected >= 1 {
+		w.Rate = h.demand
+	}
 	if held := float64(max(tokens-h.waiting, 0)); expected >= 1 && held < expected/2 {
 		w.Ahead = int(expected - held)
 	}
--- a/coordination/shquota/bucket.go
+++ b/coordination/shquota/bucket.go
@@ -28,9 +28,8 @@
 	peak float64
 }
 
-// set changes the limit. Tokens taken before do not come back.
+// set changes the limit of a bucket that was refilled. Tokens taken before do not come back.
 func (b *bucket) set(now time.Time, l Limit) {
-	b.refill(now)
 	if b.limit == l {
 		return
 	}
@@ -40,7 +39,9 @@
 	b.periods = append(b.periods[:0], period{from: now, peak: b.level})
 }
 
-func (b *bucket) refill(now time.Time) {
+// refill adds the tokens of the rate up to a time, less a number of tokens used
+// otherwise, which is not larger.
+func (b *bucket) refill(now time.Time, used float64) {
 	if b.refilledAt.IsZero() {
 		b.refilledAt = now
 	}
@@ -49,7 +50,7 @@
 		return
 	}
 	b.refilledAt = now
-	b.level = min(b.level+b.limit.Rate*elapsed.Seconds(), b.limit.Burst)
+	b.level = min(b.level+b.limit.Rate*elapsed.Seconds()-used, b.limit.Burst)
 	b.recordPeak()
 }
 
--- a/coordination/shquota/bucket_test.go
+++ b/coordination/shquota/bucket_test.go
@@ -25,7 +25,7 @@
 		var out []taken
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
-			b.refill(now)
+			b.refill(now, 0)
 			if len(out) > 0 && rapid.Bool().Draw(t, "give back") {
 				x := &out[rapid.IntRange(0, len(out)-1).Draw(t, "which")]
 				n := rapid.IntRange(0, x.tokens).Draw(t, "returned")
@@ -38,7 +38,7 @@
 		}
 		plain := bucket{limit: limit, level: limit.Burst, refilledAt: start}
 		for _, x := range out {
-			plain.refill(x.at)
+			plain.refill(x.at, 0)
 			if plain.level -= float64(x.tokens); plain.level < -roundingError*100 {
 				t.Fatalf("%v tokens too many at %v", -plain.level, x.at.Sub(start))
 			}
--- a/coordination/shquota/compare_test.go
+++ b/coordination/shquota/compare_test.go
@@ -54,6 +54,11 @@
 			f.elect()
 		}
 	}, true},
+	{"leader replaced", steady, anyVM, func(f *fleet, n int, _ shquota.Limit) {
+		if n == seconds(10) {
+			f.elect()
+		}
+	}, false},
 	{"third of VMs cut for 4 s", steady, anyVM, func(f *fleet, n int, _ shquota.Limit) {
 		if n == seconds(10) || n == seconds(14) {
 			for i := range len(f.entries) / 3 {
@@ -106,6 +111,11 @@
 	if w == spareOnly {
 		f.leader = nil
 	}
+	// A new leader knows after this time which rates the last one granted.
+	for range seconds(3) {
+		f.advance(func() time.Duration { return step / 2 })
+	}
+	began := f.now
 	parts := make([]level, size)
 	owed := level{tokens: limit.Burst, at: f.now}
 	var owedAt, ranAt [compareSteps/50 + 2]float64
@@ -138,7 +148,7 @@
 		f.advance(func() time.Duration { return step / 2 })
 	}
 	for _, p := range f.passed["a"] {
-		ranAt[int(p.at.Sub(start).Seconds())]++
+		ranAt[int(p.at.Sub(began).Seconds())]++
 	}
 	return outcome{missing(owedAt[:], ranAt[:]), f.share(limit)}
 }
--- a/coordination/shquota/fleet_test.go
+++ b/coordination/shquota/fleet_test.go
@@ -97,7 +97,7 @@
 
 // elect replaces the leader.
 func (f *fleet) elect() {
-	f.leader = &shquota.Leader{Rules: rules, ID: uint64(f.now.UnixNano())}
+	f.leader = &shquota.Leader{Rules: rules, ID: uint64(f.now.UnixNano()), VMs: len(f.entries)}
 	f.leader.SetTeams(f.now, f.limits)
 }
 
--- a/coordination/shquota/leader.go
+++ b/coordination/shquota/leader.go
@@ -29,6 +29,8 @@
 	Rules Rules
 	// ID tells successive leaders apart. It must not be zero.
 	ID uint64
+	// VMs is the number of entry VMs.
+	VMs int
 
 	teams  map[string]*teamBucket
 	askers map[shmodel.VM]asker
@@ -42,6 +44,8 @@
 
 type teamBucket struct {
 	bucket
+	bridges   bridges
+	plan      Plan
 	allowance Limit
 	issued    uint64
 	returned  uint64
@@ -66,9 +70,16 @@
 		if t == nil {
 			t = &teamBucket{windowAt: now, contenders: map[shmodel.VM]time.Time{}}
 			l.teams[name] = t
+			plan := l.Rules.Plan(limit)
+			if l.bridgesFrom(plan, assumedDemand) {
+				t.bridges.assume(now, bridgeShare*plan.Leader.Rate)
+			} else {
+				t.bridges.assume(now, 0)
+			}
 		}
-		t.allowance = limit
-		t.set(now, l.Rules.Plan(limit).Leader)
+		t.refill(now)
+		t.allowance, t.plan = limit, l.Rules.Plan(limit)
+		t.set(now, t.plan.Leader)
 	}
 }
 
@@ -76,7 +87,7 @@
 // are expected leave half of it to other entry VMs, if any asked lately.
 func (l *Leader) Ask(now time.Time, a Ask) Answer {
 	answer := Answer{Leader: l.ID, Grants: make([]Grant, 0, len(a.Wants))}
-	fresh := l.isFresh(now, a) && a.Leader == l.ID
+	fresh := l.isFresh(now, a)
 	for _, w := range a.Wants {
 		t := l.teams[w.Team]
 		if t == nil {
@@ -85,16 +96,38 @@
 			continue
 		}
 		t.refill(now)
-		if fresh && w.Unused > 0 {
+		if fresh && a.Leader == l.ID && w.Unused > 0 {
 			t.giveBack(w.Unused, w.Stamp)
 			t.returned += uint64(w.Unused)
 			t.inWindow -= float64(w.Unused)
 		}
-		answer.Grants = append(answer.Grants, t.grant(now, l.Rules.Window, a.VM, w))
+		g := t.grant(now, l.Rules.Window, a.VM, w)
+		if fresh {
+			t.bridges.held(now, l.ID, a.VM, w.Bridge)
+			if w.Rate > 0 && l.bridgesFrom(t.plan, bridgeDemand) {
+				g.Bridge = t.bridges.issue(now, Bridge{Leader: l.ID, Number: a.Number}, a.VM, w.Rate,
+					bridgeShare*t.limit.Rate, 1/t.plan.TokenLife.Seconds())
+			}
+		}
+		answer.Grants = append(answer.Grants, g)
 	}
 	return answer
 }
 
+// bridgesFrom reports whether a team with a plan has bridges if they begin at a demand.
+func (l *Leader) bridgesFrom(p Plan, demand float64) bool {
+	return p.Leader.Rate*p.TokenLife.Seconds() >= demand*float64(max(l.VMs, 1))
+}
+
+// refill refills the bucket with what the bridges do not use.
+func (t *teamBucket) refill(now time.Time) {
+	used := 0.0
+	if now.After(t.refilledAt) && !t.refilledAt.IsZero() {
+		used = t.bridges.used(t.refilledAt, now)
+	}
+	t.bucket.refill(now, min(used, t.limit.Rate*now.Sub(t.refilledAt).Seconds()))
+}
+
 // isFresh reports whether an ask was not received before, and records it.
 func (l *Leader) isFresh(now time.Time, a Ask) bool {
 	if l.askers == nil {
--- a/coordination/shquota/rule_test.go
+++ b/coordination/shquota/rule_test.go
@@ -167,6 +167,49 @@
 	t.Logf("%.0f below the %.0f permitted in a window", -over, rules.Most(limit))
 }
 
+// Guards against requests beyond an allowance when entry VMs that are cut off use their
+// bridges while the leader, or a new one, serves the others.
+func TestBridges(t *testing.T) {
+	for _, elects := range []bool{false, true} {
+		for _, apart := range []int{2, 4} {
+			t.Run(fmt.Sprint(elects, apart), func(t *testing.T) {
+				limit := shquota.Limit{Rate: 300}
+				c := &course{random: rand.New(rand.NewPCG(1, 0)), changes: []change{{start, limit}}}
+				c.fleet = newFleet(12, map[string]shquota.Limit{"a": limit})
+				c.flow = 4
+				c.advanceBy(int(4 * time.Second / step))
+				for range 6 {
+					c.flow = 40
+					c.advanceBy(int(time.Second / step))
+					for i, x := range c.entries {
+						x.cut = i%apart > 0
+					}
+					if elects {
+						c.elect()
+					}
+					c.advanceBy(int(2400 * time.Millisecond / step))
+					for i, x := range c.entries {
+						x.cut = false
+						c.update(i)
+					}
+				}
+				assert.Assert(t, bridged(c) > 100, "bridges are used")
+				over := c.busiest("a", c.most)
+				assert.Assert(t, over <= 0)
+				t.Logf("%.0f below the %.0f permitted in a window", -over, rules.Most(limit))
+			})
+		}
+	}
+}
+
+func bridged(c *course) uint64 {
+	n := uint64(0)
+	for _, x := range c.entries {
+		n += x.account.Stats().Bridged
+	}
+	return n
+}
+
 // Guards against requests beyond an allowance by any course of demand, lost and late
 // messages, changes of the leader, cuts, freezes and restarts of entry VMs, changes of
 // the table and returned tickets.
--- a/coordination/shquota/shquota.go
+++ b/coordination/shquota/shquota.go
@@ -10,13 +10,15 @@
 // that a late answer, a freeze or a cut never adds to what passes later. Tokens that
 // expire unused go back to the leader with the next ask.
 //
-// An entry VM that gets no answer uses its spare, a small bucket of its own that needs
-// no message. The spare buckets of all entry VMs and the lifetime of tokens are paid
+// An entry VM that gets no answer uses its bridges, rates of large teams that it was
+// granted with the last answers, and its spare, a small bucket of its own that needs no
+// message. The spare buckets of all entry VMs and the lifetime of tokens are paid
 // for by what the Rules permit beyond the allowance; see Rules.Plan.
 //
 // The state of the Leader is kept in memory only. A new leader starts with empty
 // buckets: while tokens of the last leader may still be in use, it has issued none that
-// the last one could have issued as well.
+// the last one could have issued as well. It assumes that all bridges were granted which
+// may have been.
 //
 // Leader and Account are state machines without clock, goroutines or network. The
 // caller passes the time, which must include suspends of the VM. They are not safe for
@@ -128,6 +130,10 @@
 	// which are expected.
 	Waiting int `json:"waiting,omitempty"`
 	Ahead   int `json:"ahead,omitempty"`
+	// Rate is the rate of the bridge asked for, and Bridge the one that the entry VM
+	// holds. An ask without a Rate gives the bridge up once it is answered.
+	Rate   float64 `json:"rate,omitempty"`
+	Bridge *Bridge `json:"bridge,omitempty"`
 	// Refused is the number of requests that the entry VM refused since its last ask.
 	Refused int `json:"refused,omitempty"`
 	// Unused is the number of tokens given back, the oldest of them with Stamp.
@@ -149,6 +155,8 @@
 	// Stamp tells when the tokens were taken from the leader's bucket, which decides
 	// whether one given back still fits into it.
 	Stamp uint64 `json:"stamp,omitempty"`
+	// Bridge is the rate of the bridge, 0 for none.
+	Bridge float64 `json:"bridge,omitempty"`
 	// WaitMS is set if Tokens is less than asked for: the milliseconds until the bucket
 	// has room for the requests that were refused before this one.
 	WaitMS int64 `json:"waitMs,omitempty"`
--- a/transport/shregistry/allowance.go
+++ b/transport/shregistry/allowance.go
@@ -38,6 +38,7 @@
 		q.leader = &shquota.Leader{Rules: r.config.Quota, ID: rand.Uint64() | 1}
 		q.version = 0
 	}
+	q.leader.VMs = len(r.state.Entries)
 	d := r.state.Document
 	if q.version == d.Version {
 		return q.leader
--- a/transport/shsteer/allowance.go
+++ b/transport/shsteer/allowance.go
@@ -43,6 +43,7 @@
 		`sequoiahollow_allowance_tokens{state="asked"}`:            func(s shquota.Stats) uint64 { return s.Asked },
 		`sequoiahollow_allowance_tokens{state="granted"}`:          func(s shquota.Stats) uint64 { return s.Granted },
 		`sequoiahollow_allowance_tokens{state="expired"}`:          func(s shquota.Stats) uint64 { return s.Expired },
+		`sequoiahollow_allowance_tokens{state="bridged"}`:          func(s shquota.Stats) uint64 { return s.Bridged },
 		`sequoiahollow_allowance_tokens{state="spare"}`:            func(s shquota.Stats) uint64 { return s.Spare },
 		`sequoiahollow_allowance_refusals{cause="used-up"}`:        func(s shquota.Stats) uint64 { return s.Refused },
 		`sequoiahollow_allowance_refusals{cause="leader-unknown"}`: func(s shquota.Stats) uint64 { return s.Cut },
