--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -9,12 +9,18 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shhome"
+	"sequoiahollow/coordination/shlimit"
 	"sequoiahollow/state/shmodel"
 )
 
 // Balancer chooses backend servers for the requests at one entry VM. Create it
 // with New.
 type Balancer struct {
+	// HedgeShare is the share of the requests of a service that may be sent a second
+	// time, see Hedge. With zero none are. Set it before use.
+	HedgeShare float64
+
 	place  Place
 	vmHash uint64 // hash of the entry VM's name
 
@@ -28,8 +34,15 @@
 	roundTrips map[shmodel.FailureDomain]*movingAverage
 	zones      map[shmodel.FailureDomain]*zoneState
 	keys       map[keySpace]map[string]*key
+	// homes are the known regions of keys.
+	homes map[shhome.Key]shmodel.Region
+	// sightings are keys that Sightings returns next.
+	sightings []shhome.Home
 	// absent holds the statements of instances that are not in the view.
 	absent map[shfleet.Instance]statement
+	// shapes and hedgeLimits are used for second sends only.
+	shapes      map[shapeKey]*shape
+	hedgeLimits map[shmodel.Service]*shlimit.ShareBudget
 }
 
 // New returns a balancer for the entry VM at place.
@@ -44,9 +57,13 @@
 		zones:      map[shmodel.FailureDomain]*zoneState{},
 		keys:       map[keySpace]map[string]*key{},
 		absent:     map[shfleet.Instance]statement{},
+		homes:      map[shhome.Key]shmodel.Region{},
 	}
 }
 
+// Place returns where the entry VM runs.
+func (b *Balancer) Place() Place { return b.place }
+
 // Update replaces the view of the fleet. What the balancer has learned of an
 // instance of a backend server is kept while that instance is in the view.
 func (b *Balancer) Update(now time.Time, v shfleet.View) {
@@ -110,6 +127,8 @@
 	defer b.mu.Unlock()
 	times := b.times(r.Route)
 	key := b.key(r)
+	b.sight(now, r, key)
+	b.countRequest(now, r)
 	best, backup, refusal := b.compare(now, r, times, key)
 	if best == nil {
 		return Choice{}, refusal
@@ -121,6 +140,8 @@
 	key.addLoss(now, *best, waitLoss*float64(times.warm.mean)/float64(objective))
 	n := b.backends[best.Backend.ID]
 	n.startRequest(now, key.name, b.ownColdRate(now, n))
+	best.bodyBytes = counted(r.BodyBytes)
+	n.bodyBytes += best.bodyBytes
 	b.zone(n.backend.Zone).probe(now)
 	return *best, nil
 }
@@ -130,7 +151,7 @@
 // why.
 func (b *Balancer) compare(now time.Time, r Request, t *routeTimes, k *key) (best, backup *Choice, refusal *Refusal) {
 	backends := b.candidates(now, r)
-	p := b.preferred(backends, k.hash)
+	p := b.preferred(backends, k)
 	tie := mix(k.hash, b.vmHash) // spreads entry VMs over choices of equal loss
 	utilization := utilizationOf(now, backends)
 	refusal = &Refusal{Reason: NoBackend, RetryAfter: firstSuspension, Candidates: len(backends), Utilization: utilization}
@@ -146,10 +167,11 @@
 			continue
 		}
 		c.loss = b.loss(now, n, r, c.Estimate)
-		if best == nil || c.loss < best.loss || (c.loss == best.loss && ranksBefore(tie, n, bestBackend)) {
+		c.room = n.hasRoom(r)
+		if best == nil || c.beats(*best) || (c.equals(*best) && ranksBefore(tie, n, bestBackend)) {
 			best, bestBackend = &c, n
 		}
-		if c.Warm || c.primary || c.queued || utilization > maxSpillUtilization || n != p.backup {
+		if c.Warm || c.primary || c.queued || !c.room || utilization > maxSpillUtilization || n != p.backup {
 			continue
 		}
 		warmUp := c
@@ -245,6 +267,7 @@
 func (b *Balancer) estimate(now time.Time, n *backendState, t *routeTimes, r Request, k *key, p preferredBackends) (Choice, time.Duration) {
 	n.fade(now)
 	c := Choice{Backend: n.backend, Load: n.load(now), route: r.Route.Name, key: k.name, at: now, left: r.Left}
+	c.hedgeable = b.HedgeShare > 0 && r.Route.Kind == shmodel.Idempotent && !r.Route.Download
 	c.serviceTime = b.serviceTime(n, t, r, &c, p)
 	warm := t.warm.orDefault(time.Duration(warmFraction * float64(c.serviceTime-c.roundTrip)))
 	wait := n.wait(c.Load, warm)
@@ -260,9 +283,7 @@
 		return false
 	case slices.Contains(r.Tried, n.backend.ID), n.stated.leaving, n.stated.isWaiting(now):
 		return false
-	case len(r.Route.Regions) > 0 && !slices.Contains(r.Route.Regions, n.region):
-		return false
-	case len(r.Regions) > 0 && !slices.Contains(r.Regions, n.region):
+	case !r.permitsRegion(n.region):
 		return false
 	case n.isCold(now):
 		return n.coldTokens(now, b.ownColdRate(now, n)) >= 1
@@ -270,6 +291,12 @@
 	return true
 }
 
+// permitsRegion reports whether both the route and the caller permit a region.
+func (r Request) permitsRegion(region shmodel.Region) bool {
+	return (len(r.Route.Regions) == 0 || slices.Contains(r.Route.Regions, region)) &&
+		(len(r.Regions) == 0 || slices.Contains(r.Regions, region))
+}
+
 // ownColdRate returns the rate, in requests per second, at which this entry VM
 // may send to a cold backend server. It is infinite if there is no limit.
 func (b *Balancer) ownColdRate(now time.Time, n *backendState) float64 {
@@ -298,7 +325,7 @@
 }
 
 // serviceTime returns the expected response time without queueing. It sets Warm,
-// primary and roundTrip of the choice.
+// primary, unslowed and roundTrip of the choice.
 func (b *Balancer) serviceTime(n *backendState, t *routeTimes, r Request, c *Choice, p preferredBackends) time.Duration {
 	cold := t.unseen.orDefault(time.Duration(r.Route.Objective) * time.Millisecond * 3 / 2)
 	warm := t.warm.orDefault(time.Duration(warmFraction * float64(cold)))
@@ -315,6 +342,7 @@
 	case p.backup == n:
 		expected = time.Duration(backupFraction * float64(cold))
 	}
+	c.unslowed = expected
 	if trip := b.roundTrips[n.backend.Zone]; trip != nil {
 		c.roundTrip = trip.mean
 	}
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -46,6 +46,9 @@
 // of the coldSenders entry VMs that rendezvous hashing names may send an equal
 // part of its rate; the others send nothing.
 //
+// A request may be sent to a second backend server if its answer is later than most and
+// another one is likely sooner; see Hedge. HedgeShare bounds how many are.
+//
 // # Use
 //
 // Update gives the balancer the current view. Pick chooses a backend server and
@@ -220,6 +223,8 @@
 	// must be answered.
 	Elapsed time.Duration
 	Left    time.Duration
+	// BodyBytes is the length of the body.
+	BodyBytes int64
 }
 
 // Choice is the backend server that was chosen for a request. It is passed to
@@ -239,6 +244,10 @@
 	left        time.Duration // until the deadline
 	serviceTime time.Duration
 	roundTrip   time.Duration // part of serviceTime
+	bodyBytes   int64         // counted in flight
+	room        bool          // the body fits the bytes in flight
+	unslowed    time.Duration // serviceTime of an average backend server, without roundTrip
+	hedgeable   bool          // may be sent a second time
 	primary     bool
 	queued      bool
 	loss        float64
@@ -283,6 +292,10 @@
 // Canceled says that the caller gave up.
 type Canceled struct{}
 
+// Outrun says that the request was canceled because another backend server, to which it
+// was sent as well, answered first.
+type Outrun struct{}
+
 func (Answered) observation()    {}
 func (Shed) observation()        {}
 func (Declined) observation()    {}
@@ -291,6 +304,7 @@
 func (Unreachable) observation() {}
 func (Replaced) observation()    {}
 func (Canceled) observation()    {}
+func (Outrun) observation()      {}
 
 // Load is a load report, in requests. Slots may be zero if unknown.
 type Load struct {
--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -38,21 +38,41 @@
 	StopSeconds float64 `json:"stopSeconds"`
 	// CacheSeconds is how long callers may use an answer of the directory.
 	CacheSeconds float64 `json:"cacheSeconds"`
-	MemoryMB     int     `json:"memoryMb"`
+	// MemoryMB and MaxFDs are the memory of the VM in MiB and the file descriptors
+	// that the process may have open; zero means no limit.
+	MemoryMB int `json:"memoryMb"`
+	MaxFDs   int `json:"maxFds"`
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, zero for no bound.
+	LinkMbps float64 `json:"linkMbps"`
+	// ShareLoad says that entry VMs tell each other, through the leader, how many
+	// requests they have at each backend server and in which region a key has its
+	// backend servers.
+	ShareLoad bool `json:"shareLoad"`
 	// RetryShare, RetrySlack and RetryWindowSeconds bound the retries that all
 	// entry VMs together make for a service: in any window, RetryShare of its
 	// requests plus RetrySlack. A window of zero selects the defaults of shfront.
 	RetryShare         float64 `json:"retryShare"`
 	RetrySlack         float64 `json:"retrySlack"`
 	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
+	// RevokeSeconds is the time after the acknowledgement of a routing table within
+	// which keys that it took away stop everywhere; zero for no bound.
+	RevokeSeconds float64 `json:"revokeSeconds"`
 	// QuotaWindowSeconds, QuotaOver and QuotaSlack say how allowances of teams are
 	// measured: in any window, at most (rate × window + burst) × (1 + QuotaOver) +
 	// QuotaSlack requests of a team may run. With a window of zero no allowance is kept.
 	QuotaWindowSeconds float64 `json:"quotaWindowSeconds"`
 	QuotaOver          float64 `json:"quotaOver"`
 	QuotaSlack         float64 `json:"quotaSlack"`
+	// RepeatShare is the share of the requests of a service that may be sent to a
+	// second backend server because their answers are later than most, up to
+	// MaxRepeatShare. With zero, the default, none are. Second sends count as retries too.
+	RepeatShare float64 `json:"repeatShare"`
 }
 
+// MaxRepeatShare is the largest RepeatShare: the share of retries that the example
+// deployments allow.
+const MaxRepeatShare = 0.2
+
 // LoadFleet reads and checks a file of fleet settings. The error is an *Error;
 // for kind Invalid it lists every mistake.
 func LoadFleet(file string) (Fleet, error) {
@@ -114,18 +134,28 @@
 			report(name, "%v is not positive", value)
 		}
 	}
+	f.validateRepeats(report)
+	if f.TolerateLosses < 0 {
+		report("tolerateLosses", "is negative")
+	}
+	return problems
+}
+
+// validateRepeats checks the limits of retries and second sends.
+func (f Fleet) validateRepeats(report func(field, format string, args ...any)) {
 	for name, value := range map[string]float64{
 		"retryShare": f.RetryShare, "retrySlack": f.RetrySlack, "retryWindowSeconds": f.RetryWindowSeconds,
+		"memoryMb": float64(f.MemoryMB), "maxFds": float64(f.MaxFDs),
+		"revokeSeconds":      f.RevokeSeconds,
 		"quotaWindowSeconds": f.QuotaWindowSeconds, "quotaOver": f.QuotaOver, "quotaSlack": f.QuotaSlack,
 	} {
 		if value < 0 {
 			report(name, "%v is negative", value)
 		}
 	}
-	if f.TolerateLosses < 0 {
-		report("tolerateLosses", "is negative")
+	if f.RepeatShare < 0 || f.RepeatShare > MaxRepeatShare {
+		report("repeatShare", "%v is not between 0 and %v", f.RepeatShare, MaxRepeatShare)
 	}
-	return problems
 }
 
 // PeerAddress returns the address at which this process takes calls of other
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -1,11 +1,10 @@
 package shfront
 
 import (
-	"crypto/sha256"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"sequoiahollow/coordination/shbalance"
@@ -23,16 +22,21 @@
 	request  *http.Request
 	received time.Time
 	id       string
-	body     []byte
+	body     requestBody
 
-	view     *shfleet.View
-	route    *shfleet.Route
-	team     *shfleet.Team // nil if the table has no teams or the route is public
-	tickets  []shquota.Ticket
-	service  shmodel.Service
-	key      string
-	digest   shmodel.Digest
-	deadline time.Time
+	view    *shfleet.View
+	route   *shfleet.Route
+	team    *shfleet.Team // nil if the table has no teams or the route is public
+	teamKey string
+	tickets []shquota.Ticket
+	// keysUntil is the end of the permission to accept the keys of view, or of an
+	// earlier one; keyChanged is set if the check at the time of sending failed.
+	keysUntil  time.Duration
+	keyChanged atomic.Bool
+	service    shmodel.Service
+	key        string
+	digest     shmodel.Digest
+	deadline   time.Time
 
 	// mayHaveRun counts the backend servers that may have run the request,
 	// reached those that it was sent to, and dialFailures those to which no
@@ -50,12 +54,17 @@
 	// lastFailure is the latest complete answer that reports a failure of the
 	// backend server. The caller gets it if no other attempt succeeds.
 	lastFailure *shorigin.Response
+	// hedged says that the request was sent to a second backend server before the
+	// first one answered. beforeDelivery, unless nil, ends the other send.
+	hedged         bool
+	beforeDelivery func()
 }
 
 // serve reads the request, matches it to a route and answers the caller.
 func (x *exchange) serve() {
 	h := x.handler
-	x.view = h.View()
+	x.loadView()
+	x.openBody()
 	if h.Account != nil {
 		x.recordID = h.Account.Next()
 	}
@@ -63,22 +72,26 @@
 		x.refuse("no routing table yet", noTableRetryAfter)
 		return
 	}
-	if !x.readBody(x.view.Limits.BodyBytes) {
+	x.findRoute()
+	defer x.body.close()
+	// The body of a request that is refused is not read if it is long: it would take
+	// the link from other requests.
+	long := x.body.isLong()
+	if long && !x.admit() {
 		return
 	}
-	if h.Refusing() {
-		x.refuse("the VM stops", minRetryAfter)
-		return
-	}
-	x.route = x.view.Table.Route(hostOf(x.request), pathOf(x.request.RequestURI))
-	if x.route == nil {
-		x.reject(http.StatusNotFound, "no route for host "+strconv.Quote(x.request.Host))
+	if !x.readBody(x.view.Limits.BodyBytes) {
 		return
 	}
-	if !x.authorize() {
-		return
+	if !long {
+		// Reading the body may have taken long. For a long one, the check before sending
+		// notices what has changed.
+		x.loadView()
+		x.findRoute()
+		if !x.admit() {
+			return
+		}
 	}
-	x.setDeadline()
 	x.service = h.chooseService(x.route)
 	x.key = h.Dialect.Key(x.request.Header)
 	x.digest = x.contentDigest()
@@ -93,6 +106,20 @@
 	x.sendUntilFinal()
 }
 
+// admit checks whether the request may be served at all. It returns false if it has
+// answered the caller.
+func (x *exchange) admit() bool {
+	switch {
+	case x.handler.Refusing():
+		x.refuse("the VM stops", minRetryAfter)
+		return false
+	case x.route == nil:
+		x.reject(http.StatusNotFound, "no route for host "+strconv.Quote(x.request.Host))
+		return false
+	}
+	return x.authorize()
+}
+
 // setDeadline derives the deadline from the shorter of the caller's and the
 // route's timeout.
 func (x *exchange) setDeadline() {
@@ -103,37 +130,23 @@
 	x.deadline = x.received.Add(left - answerMargin)
 }
 
-// contentDigest identifies repetitions of a request: equal requests have equal
-// digests.
-func (x *exchange) contentDigest() shmodel.Digest {
-	h := sha256.New()
-	fmt.Fprintf(h, "%s %s %s %s\n", x.request.Method, x.request.Host, x.request.RequestURI, x.key)
-	h.Write(x.body)
-	var d shmodel.Digest
-	copy(d[:], h.Sum(nil))
-	return d
-}
-
 // sendUntilFinal sends the request to one backend server after another until the
 // outcome is final.
 func (x *exchange) sendUntilFinal() {
 	for {
 		now := time.Now()
-		choice, refusal := x.handler.Balancer.Pick(now, shbalance.Request{
-			Route: x.route, Service: x.service, Key: x.key, Regions: x.teamRegions(), Tried: x.tried,
-			Elapsed: now.Sub(x.received), Left: x.deadline.Sub(now),
-		})
+		choice, refusal := x.handler.Balancer.Pick(now, x.balanced(now))
 		if refusal != nil {
 			x.refusal = refusal
 			x.giveUp(string(refusal.Reason), refusal.RetryAfter)
 			return
 		}
 		result := x.attempt(choice)
-		if result == attemptDelivered {
+		if result == attemptDelivered || result == attemptWithheld && !x.authorizeAgain() {
 			return
 		}
 		reason := "the request may have run"
-		if result == attemptMayRepeat {
+		if result != attemptFinal {
 			reason = x.noRetryReason()
 		}
 		if reason != "" {
@@ -143,6 +156,14 @@
 	}
 }
 
+// balanced returns what the choice of a backend server depends on.
+func (x *exchange) balanced(now time.Time) shbalance.Request {
+	return shbalance.Request{
+		Route: x.route, Service: x.service, Key: x.key, Regions: x.teamRegions(), Tried: x.tried,
+		Elapsed: now.Sub(x.received), Left: x.deadline.Sub(now), BodyBytes: x.body.size(),
+	}
+}
+
 // attemptResult says what may follow an attempt.
 type attemptResult int
 
@@ -153,6 +174,9 @@
 	attemptMayRepeat
 	// attemptDelivered means that the caller has its answer.
 	attemptDelivered
+	// attemptWithheld means that the request was not sent, since the check of its key
+	// at the time of sending failed.
+	attemptWithheld
 )
 
 // retryIfIdempotent returns whether a request that may have run may be sent
@@ -166,20 +190,39 @@
 
 // attempt sends the request to one backend server.
 func (x *exchange) attempt(c shbalance.Choice) attemptResult {
-	h := x.handler
+	x.addAttempt(c)
+	if delay := x.hedgeDelay(c); delay > 0 {
+		return x.attemptHedged(c, delay)
+	}
+	response, err := x.handler.Origin.Do(x.request.Context(), c.Backend.Address, x.originRequest(c))
+	return x.handleResult(c, response, err)
+}
+
+// addAttempt records that the request is sent to a backend server.
+func (x *exchange) addAttempt(c shbalance.Choice) {
 	x.tried = append(x.tried, c.Backend.ID)
 	x.attempts = append(x.attempts, attempt{at: time.Now(), backend: c.Backend})
+}
+
+// originRequest returns what is sent to a backend server.
+func (x *exchange) originRequest(c shbalance.Choice) shorigin.Request {
+	h := x.handler
 	header := endToEndHeaders(x.request.Header)
 	header.Del(h.Dialect.Timeout)
 	header.Set(h.Dialect.Instance, string(c.Backend.ID))
 	x.setTeam(header)
-	response, err := h.Origin.Do(x.request.Context(), c.Backend.Address, shorigin.Request{
+	return shorigin.Request{
 		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host, Header: header,
-		Body: x.body, Chunked: x.request.ContentLength < 0,
+		Body: x.body.copyPieces(), Rest: x.body.rest(), Length: x.body.length, Chunked: x.body.length < 0,
 		EchoHeader: h.Dialect.RequestID, TimeoutHeader: h.Dialect.Timeout,
-		MaySend:  func() bool { return x.mayStillRun() && h.Balancer.MaySend(time.Now(), c) },
+		MaySend:  x.maySend(c),
 		Deadline: x.deadline, Once: x.route.Kind == shmodel.OnceOnly, StreamFrom: x.streamFrom(),
-	})
+		Hold: h.answerHold(x.request),
+	}
+}
+
+// handleResult handles the result of an attempt.
+func (x *exchange) handleResult(c shbalance.Choice, response shorigin.Response, err error) attemptResult {
 	declined := x.observeStatements(c, response)
 	if err != nil {
 		return x.handleFailure(c, err)
@@ -189,6 +232,9 @@
 
 // handleFailure handles an attempt that got no answer.
 func (x *exchange) handleFailure(c shbalance.Choice, err error) attemptResult {
+	if x.body.err != nil {
+		return x.handleBodyCut(c, err)
+	}
 	now := time.Now()
 	kind := shorigin.KindOf(err)
 	x.logAttempt(c, string(kind), err)
@@ -199,11 +245,16 @@
 		return attemptMayRepeat
 	case shorigin.KindWithheld:
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
+		if x.keyChanged.Load() {
+			return attemptWithheld
+		}
 		return attemptMayRepeat
 	case shorigin.KindCanceled:
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
 		x.finish(outcomeCanceled, 0, "the caller left")
-		panic(http.ErrAbortHandler)
+		x.abort()
+	case shorigin.KindNoMemory:
+		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
 	case shorigin.KindTimeout:
 		x.handler.Balancer.Done(now, c, shbalance.Slow{})
 	default:
@@ -275,6 +326,8 @@
 func (x *exchange) noRetryReason() string {
 	left := time.Until(x.deadline)
 	switch {
+	case x.body.spent():
+		return "the body cannot be sent again"
 	case x.mayHaveRun >= x.route.Attempts:
 		return "attempts used up"
 	case x.mayHaveRun > 0 && x.view.CrashCounts[x.digest] >= crashLimit:
@@ -310,6 +363,9 @@
 // deliver sends the answer of a backend server to the caller and ends the
 // request.
 func (x *exchange) deliver(c shbalance.Choice, r shorigin.Response, load *shbalance.Load) {
+	if x.beforeDelivery != nil {
+		x.beforeDelivery()
+	}
 	x.writeAnswer(r)
 	x.answerBytes = len(r.Body)
 	x.finishDelivered(c, r, load)
@@ -328,6 +384,8 @@
 
 // writeHead writes the status and the header of an answer unchanged.
 func (x *exchange) writeHead(r shorigin.Response, length int64) {
+	x.body.release()
+	x.endUnread()
 	header := x.writer.Header()
 	for name, values := range endToEndHeaders(r.Header) {
 		header[name] = values
@@ -351,6 +409,7 @@
 
 // refuseWith is refuse with another status that promises the same.
 func (x *exchange) refuseWith(status int, reason string, after time.Duration) {
+	x.endUnread()
 	// What backend servers have stated is known; other times are estimates.
 	if x.refusal == nil || x.refusal.Reason != shbalance.AskedToWait {
 		after = min(after, maxRetryAfter)
@@ -364,12 +423,14 @@
 
 // fail tells the caller that the outcome is unknown.
 func (x *exchange) fail(status int, reason string) {
+	x.endUnread()
 	x.writer.WriteHeader(status)
 	x.finish(outcomeUnknown, status, reason)
 }
 
 // reject tells the caller that the request is not acceptable.
 func (x *exchange) reject(status int, reason string) {
+	x.endUnread()
 	x.writer.WriteHeader(status)
 	x.finish(outcomeRejected, status, reason)
 }
--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -15,11 +15,21 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"sequoiahollow/state/shmodel"
 )
 
 // Client sends requests to backend servers and reuses connections. The zero value
 // is ready to use. A Client is safe for concurrent use.
 type Client struct {
+	// Link is the network link of the VM.
+	Link Link
+
+	// MaxConnections bounds the open connections; zero means no bound. Beyond it, idle
+	// connections are closed, and requests that need a new one are withheld.
+	MaxConnections int
+
+	open      atomic.Int64
 	mu        sync.Mutex
 	idle      map[string][]*conn
 	idleCount int
@@ -35,9 +45,13 @@
 	// input is below reader and bounds what an answer may bring.
 	input  *boundedInput
 	held   *atomic.Int64 // of the Client
+	link   *Link
 	usedAt time.Time
 	// idleLimit is how long the connection may be idle.
 	idleLimit time.Duration
+	// slowWrite says that a long body was written, without a bound on the time that sent
+	// bytes remain unacknowledged.
+	slowWrite bool
 }
 
 // Do sends a request to address and returns the complete answer. Errors are of
@@ -46,34 +60,51 @@
 	if err := r.checkMaySend(); err != nil {
 		return Response{}, err
 	}
-	x, reused := c.take(address, r.Once)
-	var connect time.Duration
-	if x == nil {
-		var err error
-		began := time.Now()
-		if x, err = dial(ctx, address, r.Deadline); err != nil {
-			return Response{}, err
-		}
-		x.held = &c.held
-		connect = time.Since(began)
+	x, connect, err := c.connection(ctx, address, r)
+	if err != nil {
+		return Response{}, err
 	}
+	reused := connect == 0
 	stop := context.AfterFunc(ctx, func() { x.Close() })
-	response, keep, err := exchange(x, r)
+	response, keep, sent, err := exchange(x, r)
 	response.Reused, response.Connect = reused, connect
 	if response.Stream != nil {
 		response.Stream = &stream{body: response.Stream, left: response.Length, finish: func(complete bool) {
-			c.release(address, x, stop() && complete && keep && x.reader.Buffered() == 0)
+			whole := sent.finish(complete)
+			c.release(address, x, stop() && complete && keep && whole && x.reader.Buffered() == 0)
 		}}
 		return response, nil
 	}
+	// To interrupt the rest of a body may cancel ctx.
 	canceled := !stop()
+	if sent != nil {
+		keep = sent.finish(err == nil) && keep
+		if err != nil {
+			err = sent.failure(err)
+		}
+	}
 	c.release(address, x, err == nil && keep && !canceled)
-	if err != nil && canceled {
+	if err != nil && canceled && KindOf(err) != KindBodyCut {
 		return response, &Error{Op: "exchange", Kind: KindCanceled, Err: context.Cause(ctx)}
 	}
 	return response, err
 }
 
+// connection returns a connection to a backend server and the time that it took to open it,
+// zero for an idle one.
+func (c *Client) connection(ctx context.Context, address string, r Request) (*conn, time.Duration, error) {
+	if x := c.idleConn(address, r.Once); x != nil {
+		return x, 0, nil
+	}
+	began := time.Now()
+	x, err := c.dial(ctx, address, min(c.Link.dialTimeout(), time.Until(r.Deadline)))
+	if err != nil {
+		return nil, 0, err
+	}
+	x.link = &c.Link
+	return x, max(time.Since(began), 1), nil
+}
+
 func (r Request) checkMaySend() error {
 	if r.MaySend == nil || r.MaySend() {
 		return nil
@@ -124,8 +155,8 @@
 	return nil
 }
 
-func dial(ctx context.Context, address string, deadline time.Time) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout, time.Until(deadline)))
+func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	d := net.Dialer{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
@@ -165,21 +196,20 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 const tcpUserTimeout = 0x12
 
-// take returns an idle connection, or nil if there is no usable one, and whether
-// there is one.
-func (c *Client) take(address string, once bool) (*conn, bool) {
+// idleConn returns an idle connection, or nil if there is no usable one.
+func (c *Client) idleConn(address string, once bool) *conn {
 	now := time.Now()
 	for {
 		x := c.pop(address)
 		if x == nil {
-			return nil, false
+			return nil
 		}
 		limit := x.idleLimit
 		if once {
 			limit = min(limit, maxIdleOnce)
 		}
 		if now.Sub(x.usedAt) < limit && x.hasNoInput() {
-			return x, true
+			return x
 		}
 		x.Close()
 	}
@@ -211,6 +241,11 @@
 		x.Close()
 		return
 	}
+	if x.slowWrite && x.setUserTimeout(maxUnacknowledged) != nil {
+		x.Close()
+		return
+	}
+	x.slowWrite = false
 	x.usedAt = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -268,23 +303,28 @@
 	return err == nil && noInput
 }
 
-// exchange sends a request and reads its answer. The boolean result says whether
-// the connection may be reused.
-func exchange(x *conn, r Request) (Response, bool, error) {
+// exchange sends a request and reads its answer. The boolean result says whether the
+// answer lets the connection be reused. The sending is nil if nothing was written.
+func exchange(x *conn, r Request) (Response, bool, *sending, error) {
 	if err := x.SetDeadline(r.Deadline); err != nil {
-		return Response{}, false, &Error{Op: "set deadline", Kind: KindNotSent, Err: err}
+		return Response{}, false, nil, &Error{Op: "set deadline", Kind: KindNotSent, Err: err}
 	}
 	left := time.Until(r.Deadline)
 	if left <= 0 {
-		return Response{}, false, &Error{Op: "write", Kind: KindNotSent, Err: errors.New("the deadline has passed")}
+		return Response{}, false, nil, &Error{Op: "write", Kind: KindNotSent, Err: errors.New("the deadline has passed")}
 	}
-	message := encode(r, left)
+	head := encodeHead(r, left)
 	if err := r.checkMaySend(); err != nil {
-		return Response{}, false, err
-	}
-	if _, err := x.Write(message); err != nil {
-		return Response{}, false, transferError("write", err)
+		return Response{}, false, nil, err
 	}
+	sent := startSending(x, r, head)
+	response, keep, err := x.readAnswer(r)
+	return response, keep, sent, err
+}
+
+// readAnswer reads the answer to a request. The boolean result says whether the
+// connection may be reused.
+func (x *conn) readAnswer(r Request) (Response, bool, error) {
 	inSync := true
 	for range maxAnswersRead {
 		x.input.left = maxHead
@@ -292,9 +332,12 @@
 		if err != nil {
 			return Response{}, false, transferError("read head", err)
 		}
-		if answer.StatusCode < http.StatusOK {
+		if isInterim(answer.StatusCode) {
 			continue
 		}
+		if !shmodel.IsFinalStatus(answer.StatusCode) {
+			return Response{}, false, &Error{Op: "read head", Kind: KindGarbled, Err: fmt.Errorf("status %q", answer.Status)}
+		}
 		if answer.Header.Get(r.EchoHeader) != r.Header.Get(r.EchoHeader) {
 			x.input.left = maxBody
 			if _, err := io.Copy(io.Discard, answer.Body); err != nil {
@@ -311,7 +354,7 @@
 				Status: answer.StatusCode, Header: answer.Header, Stream: answer.Body, Length: answer.ContentLength,
 			}, keep, nil
 		}
-		body, err := x.readBody(answer)
+		body, err := x.readBody(r, answer)
 		if err != nil {
 			return Response{Status: answer.StatusCode, Header: answer.Header}, false, transferError("read body", err)
 		}
@@ -322,16 +365,32 @@
 	return Response{}, false, &Error{Op: "read head", Kind: KindGarbled, Err: errors.New("answers to other requests only")}
 }
 
-// readBody reads a body that is held until it is complete. Beyond the first
-// bodyStep bytes it takes memory from what all such bodies share, a step at a time.
-// The steps are joined only at the end: a buffer that grows would leave as much
-// garbage again.
-func (x *conn) readBody(answer *http.Response) ([]byte, error) {
-	reserved := int64(0)
-	defer func() { x.held.Add(-reserved) }()
+// isInterim reports whether a status precedes an answer.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// readBody reads a body that is held until it is complete. It takes memory a step at a
+// time. The steps are joined only at the end, for which memory is taken once more: a
+// buffer that grows would leave as much garbage again.
+func (x *conn) readBody(r Request, answer *http.Response) ([]byte, error) {
+	memory := r.Hold
+	if memory == nil {
+		shared := &sharedHold{held: x.held}
+		defer shared.release()
+		memory = shared
+	}
+	step := int64(bodyStep)
+	if n := answer.ContentLength; n >= 0 {
+		step = min(step, n)
+	}
+	if err := memory.Reserve(step); err != nil {
+		return nil, r.noMemory(0, err)
+	}
 	x.input.left = bodyStep + maxHead
 	first, err := io.ReadAll(io.LimitReader(answer.Body, bodyStep))
 	if err != nil || len(first) < bodyStep {
+		memory.Release(step - min(step, int64(len(first))))
 		return first, err
 	}
 	for steps := [][]byte{first}; ; {
@@ -339,9 +398,8 @@
 		if read >= maxBody {
 			return nil, fmt.Errorf("a body of %d bytes or more", maxBody)
 		}
-		reserved += bodyStep
-		if x.held.Add(bodyStep) > maxHeldBytes {
-			return nil, fmt.Errorf("no memory for a body of %d bytes or more", read)
+		if err := memory.Reserve(2 * bodyStep); err != nil {
+			return nil, r.noMemory(read, err)
 		}
 		step := make([]byte, bodyStep)
 		x.input.left = bodyStep + maxHead
@@ -351,7 +409,9 @@
 		case err != nil:
 			return nil, err
 		case n < bodyStep:
-			return bytes.Join(steps, nil), nil
+			body := bytes.Join(steps, nil)
+			memory.Release(int64(len(steps)-1) * bodyStep)
+			return body, nil
 		}
 	}
 }
@@ -374,43 +434,17 @@
 
 // isStreamed reports whether the body of an answer is returned as a Stream.
 func isStreamed(r Request, answer *http.Response) bool {
-	return r.StreamFrom > 0 && r.Method != http.MethodHead && answer.ContentLength >= r.StreamFrom && answer.StatusCode < http.StatusMultipleChoices
-}
-
-// encode returns the bytes of a request.
-func encode(r Request, left time.Duration) []byte {
-	var b strings.Builder
-	b.Grow(len(r.Body) + readBuffer/4)
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			b.WriteString(name + ": " + v + "\r\n")
-		}
-	}
-	if r.TimeoutHeader != "" {
-		fmt.Fprintf(&b, "%s: %d\r\n", r.TimeoutHeader, max(left.Milliseconds(), 1))
-	}
-	switch {
-	case r.Chunked && len(r.Body) > 0:
-		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n", len(r.Body))
-		b.Write(r.Body)
-		b.WriteString("\r\n0\r\n\r\n")
-	case r.Chunked:
-		b.WriteString("Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
-	case len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
-		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(r.Body))
-		b.Write(r.Body)
-	default:
-		b.WriteString("\r\n")
-	}
-	return []byte(b.String())
+	return r.StreamFrom > 0 && r.Rest == nil && r.Method != http.MethodHead && answer.ContentLength >= r.StreamFrom && answer.StatusCode < http.StatusMultipleChoices
 }
 
 // transferError classifies an error after the first byte was sent.
 func transferError(op string, err error) *Error {
 	kind := KindGarbled
 	var netErr net.Error
+	var short noMemoryError
 	switch {
+	case errors.As(err, &short):
+		kind = KindNoMemory
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		kind = KindBroken
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
--- a/transport/shregistry/allowance_test.go
+++ b/transport/shregistry/allowance_test.go
@@ -39,7 +39,7 @@
 		return s.Granted
 	}
 	eventually(t, "the leader issues tokens", func() bool { return take() && granted() > 0 })
-	leader := leaderOf(vms)
+	leader := allowanceLeader(vms)
 	usage, err := leader.Allowances()
 	assert.NilError(t, err)
 	assert.Equal(t, usage[0].Team, "a")
@@ -59,7 +59,7 @@
 	}
 }
 
-func leaderOf(vms []*vm) *vm {
+func allowanceLeader(vms []*vm) *vm {
 	for _, v := range vms {
 		if _, err := v.Allowances(); err == nil {
 			return v
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -9,7 +9,10 @@
 
 	"sequoiahollow/coordination/shcontrol"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shhome"
+	"sequoiahollow/coordination/shload"
 	"sequoiahollow/coordination/shraft"
+	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shrecord"
 	"sequoiahollow/transport/shleader"
@@ -41,7 +44,7 @@
 	// lastHeartbeat and lastWatch are kept in the memory of the leader only; a
 	// new leader starts with empty ones.
 	lastHeartbeat map[shmodel.BackendServer]time.Time
-	lastWatch     map[shmodel.VM]time.Time
+	lastWatch     map[shmodel.VM]observed
 	// unreportedHeartbeats are the backend servers that sent a heartbeat to this VM
 	// since its last report to the leader.
 	unreportedHeartbeats map[shmodel.BackendServer]bool
@@ -51,6 +54,8 @@
 	sequences   map[shmodel.BackendServer]sequence
 	// reportedCrashes is kept in the memory of the leader only.
 	reportedCrashes map[reportedCrash]bool
+	homes           shhome.Table
+	loads           shload.Sums
 
 	allowances allowances
 
@@ -69,12 +74,17 @@
 	if config.BackendTimeout == 0 {
 		config.BackendTimeout = DefaultBackendTimeout
 	}
+	if config.Suspensions == nil {
+		config.Suspensions = &shclock.Suspensions{}
+	}
+	// Confirmations from before the first reading do not count.
+	config.Suspensions.Since()
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Registry{
 		config: config, ctx: ctx, cancel: cancel,
 		changed:              make(chan struct{}),
 		lastHeartbeat:        map[shmodel.BackendServer]time.Time{},
-		lastWatch:            map[shmodel.VM]time.Time{},
+		lastWatch:            map[shmodel.VM]observed{},
 		unreportedHeartbeats: map[shmodel.BackendServer]bool{},
 		announcedAt:          map[shmodel.BackendServer]time.Time{},
 		sequences:            map[shmodel.BackendServer]sequence{},
@@ -172,6 +182,7 @@
 		r.leaderSince = time.Now()
 		clear(r.lastHeartbeat)
 		clear(r.lastWatch)
+		r.homes, r.loads = shhome.Table{}, shload.Sums{}
 		r.allowances = allowances{}
 	}
 }
@@ -406,6 +417,7 @@
 		return ranges, err
 	})
 	shpeer.Handle(r.config.Server, MethodWatch, r.watch)
+	shpeer.Handle(r.config.Server, MethodShare, r.share)
 	if r.config.Quota.Enabled() {
 		shpeer.Handle(r.config.Server, MethodAllowance, r.allowance)
 	}
--- a/transport/shregistry/registry_test.go
+++ b/transport/shregistry/registry_test.go
@@ -67,8 +67,8 @@
 	}
 	for _, v := range vms {
 		v.config.Seeds = seeds
-		for _, set := range options {
-			set(&v.config)
+		for _, o := range options {
+			o(&v.config)
 		}
 		v.start(t)
 		t.Cleanup(v.stop)
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -37,6 +37,7 @@
 
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shquota"
+	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shlog"
 	"sequoiahollow/transport/shpeer"
@@ -94,6 +95,8 @@
 	MethodReserve = "fleet.reserve"
 	// MethodWatch takes a WatchRequest and returns a WatchResponse.
 	MethodWatch = "fleet.watch"
+	// MethodShare takes a ShareRequest and returns a ShareResponse.
+	MethodShare = "fleet.share"
 	// MethodAllowance takes a shquota.Ask and returns a shquota.Answer.
 	MethodAllowance = "fleet.allowance"
 )
@@ -117,6 +120,9 @@
 	// BackendTimeout is how long a backend server without a heartbeat stays listed;
 	// zero means DefaultBackendTimeout.
 	BackendTimeout time.Duration
+	// Suspensions tells for how long the VM has run without a suspension; nil uses
+	// the clocks of the system.
+	Suspensions *shclock.Suspensions
 	// Quota says how the allowances of teams are measured. With the zero value none
 	// are kept.
 	Quota  shquota.Rules
@@ -137,6 +143,9 @@
 	Since uint64     `json:"since"`
 	// Entry is set by entry VMs.
 	Entry *shfleet.Entry `json:"entry,omitempty"`
+	// Hold is how long the leader may wait for a change before it answers, nil for
+	// LongPollTimeout.
+	Hold *shfleet.Millis `json:"holdMs,omitempty"`
 	// AcceptsPacked says that the observer reads WatchResponse.Packed.
 	AcceptsPacked bool `json:"acceptsPacked,omitempty"`
 }
@@ -147,6 +156,10 @@
 	Change shfleet.Change `json:"change"`
 	// Packed is a large Change as compressed JSON; Change is then empty.
 	Packed []byte `json:"packed,omitempty"`
+	// Confirmed is how long before the answer a quorum last confirmed the leader. The
+	// change contains everything that was acknowledged before that. It is nil if the
+	// leader does not know.
+	Confirmed *shfleet.Millis `json:"confirmedMs,omitempty"`
 	// Control are the peer addresses of the control VMs.
 	Control []string `json:"control"`
 }
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -42,6 +42,7 @@
 	log.Info("control VM started", "address", s.ControlAddress, "failureDomain", s.Zone,
 		"seeds", s.Seeds, "bootstrap", s.Bootstrap, "tolerateLosses", s.TolerateLosses)
 	background, cancel := context.WithCancel(context.Background())
+	go c.reportMemory(background)
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -71,6 +72,7 @@
 	}
 	return c.listenMetrics(options.Metrics.Address, options.Metrics.Path, func(mux *http.ServeMux) {
 		c.serveAccount(mux)
+		c.serveObservers(mux)
 		c.serveAllowances(mux)
 	})
 }
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -12,6 +12,7 @@
 
 	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shfront"
@@ -45,21 +46,31 @@
 	refusing     atomic.Bool
 }
 
+func newOrigin(s shsettings.Fleet) *shorigin.Client {
+	return &shorigin.Client{Link: shorigin.Link{BitsPerSecond: int64(s.LinkMbps * 1e6)}}
+}
+
 // maxQueuedReports bounds the queue of crash reports for the leader.
 const maxQueuedReports = 64
 
 // RunEntry runs an entry VM until ctx ends, then stops gracefully.
 func RunEntry(ctx context.Context, s shsettings.Fleet, options EntryOptions, log *slog.Logger) error {
-	e := &Entry{process: newProcess(s, log), origin: &shorigin.Client{}, crashReports: make(chan shfront.CrashReport, maxQueuedReports)}
+	e := &Entry{process: newProcess(s, log), origin: newOrigin(s), crashReports: make(chan shfront.CrashReport, maxQueuedReports)}
 	seeds := s.PeerSeeds()
 	e.seeds.Store(&seeds)
 	place := shbalance.Place{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
 	e.balancer = shbalance.New(place)
+	e.balancer.HedgeShare = s.RepeatShare
 	e.watcher = &shwatch.Watcher{
 		VM: s.VM, Client: e.client, Seeds: func() []string { return *e.seeds.Load() },
 		Entry: e.announcement, Logger: log,
-		Changed: func(v shfleet.View) { e.balancer.Update(time.Now(), v) },
+		Changed: func(v shfleet.View) {
+			e.balancer.Update(time.Now(), v)
+			e.origin.Link.SetUploads(v.Table.HasUploads())
+		},
+		RevokeWithin: shsettings.Seconds(s.RevokeSeconds),
 	}
+	e.origin.MaxConnections = shmemory.MaxOutbound(freeFDs(s))
 	e.account = newAccountWriter(e.process, e.watcher)
 	e.addGauges()
 	handler := &shfront.Handler{
@@ -69,14 +80,22 @@
 		},
 		Dialect: options.Dialect, Balancer: e.balancer, Origin: e.origin, View: e.watcher.View,
 		Closing: e.closing.Load, Refusing: e.refusing.Load, Report: e.report, Metrics: e.metrics, Logger: log,
+		KeysUntil: e.keysUntil(),
+	}
+	if e.budget != nil {
+		handler.Hold, handler.HoldAnswer = holdBody, holdAnswer
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go e.reportMemory(background)
 	e.keepAllowances(background, handler)
 	go e.watcher.Run(background)
 	go e.account.run(background)
 	go e.sendReports(background)
 	go e.pruneConnections(background)
+	if s.ShareLoad {
+		go e.share(background)
+	}
 	go e.reload(background, options)
 	if err := e.serve(handler, options); err != nil {
 		return errors.Join(err, e.close())
@@ -92,12 +111,14 @@
 	return errors.Join(failure, e.account.close(), e.close())
 }
 
-func (e *Entry) serve(handler http.Handler, options EntryOptions) error {
+func (e *Entry) serve(handler *shfront.Handler, options EntryOptions) error {
+	if _, err := e.listenOverlapping(e.Settings.EntryAddress, handler, handler.MayOverlap); err != nil {
+		return err
+	}
 	for _, x := range []struct {
 		address string
 		handler http.Handler
 	}{
-		{e.Settings.EntryAddress, handler},
 		{e.Settings.ReadinessAddress, options.Readiness(e)},
 		{e.Settings.DirectoryAddress, options.Directory(e)},
 	} {
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -26,8 +26,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/internal/shlistener"
+	"sequoiahollow/transport/internal/shpipeline"
 	"sequoiahollow/transport/shpeer"
 )
 
@@ -76,12 +78,29 @@
 	server  *shpeer.Server
 	http    []listener
 	failed  chan error
+	// budget bounds what is held for clients, nil if the settings have no limits.
+	budget *shmemory.Budget
 }
 
 // listener is an HTTP server and the listener that it serves.
 type listener struct {
 	*http.Server
 	accepts *shlistener.Listener
+	// pipeline is nil on listeners that do not serve pipelined requests at the same
+	// time.
+	pipeline *shpipeline.Listener
+}
+
+// shutdown closes the listener and waits for the requests in progress and until the
+// clients have their answers.
+func (l listener) shutdown(ctx context.Context) error {
+	if l.pipeline != nil {
+		l.pipeline.Drain()
+		if err := l.pipeline.Wait(ctx); err != nil {
+			return err
+		}
+	}
+	return l.accepts.Shutdown(ctx, l.Server)
 }
 
 func newProcess(s shsettings.Fleet, log *slog.Logger) *process {
@@ -89,11 +108,16 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	}
 	config := shpeer.Config{Self: s.PeerAddress(), Connections: 1, Logger: log}
-	return &process{
+	p := &process{
 		Settings: s, Log: log, metrics: metrics.NewSet(),
 		client: shpeer.NewClient(config), server: shpeer.NewServer(config),
 		failed: make(chan error, 1),
 	}
+	if s.MemoryMB > 0 || s.MaxFDs > 0 {
+		p.budget = shmemory.NewBudget(s.MemoryMB, freeFDs(s))
+		shlistener.AddMetrics(p.metrics, p.budget)
+	}
+	return p
 }
 
 // listenPeers serves the calls of other VMs at the peer address.
@@ -108,6 +132,12 @@
 
 // listen serves HTTP at an address. It does nothing if the address is empty.
 func (p *process) listen(address string, handler http.Handler) (*http.Server, error) {
+	return p.listenOverlapping(address, handler, nil)
+}
+
+// listenOverlapping is listen. The requests for which mayOverlap returns true are
+// served beside others of their connection; with nil none are.
+func (p *process) listenOverlapping(address string, handler http.Handler, mayOverlap func(*http.Request) bool) (*http.Server, error) {
 	if address == "" {
 		return nil, nil
 	}
@@ -115,13 +145,22 @@
 	if err != nil {
 		return nil, err
 	}
-	accepts := &shlistener.Listener{Listener: l}
+	accepts := &shlistener.Listener{Listener: l, Budget: p.budget}
 	s := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
 	}
-	p.http = append(p.http, listener{s, accepts})
-	go p.serveListener(func() error { return s.Serve(accepts) })
+	x := listener{Server: s, accepts: accepts}
+	var served net.Listener = accepts
+	if mayOverlap != nil {
+		x.pipeline = &shpipeline.Listener{
+			Listener: accepts, MayOverlap: p.overlapRoom(mayOverlap), HeadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeadBytes: maxHeaderBytes,
+		}
+		s.ConnState, s.ConnContext, served = x.pipeline.ConnState, x.pipeline.ConnContext, x.pipeline
+	}
+	accepts.Attach(s)
+	p.http = append(p.http, x)
+	go p.serveListener(func() error { return s.Serve(served) })
 	return s, nil
 }
 
@@ -147,6 +186,13 @@
 	return err
 }
 
+// reportMemory logs until ctx ends what was refused for lack of memory.
+func (p *process) reportMemory(ctx context.Context) {
+	if p.budget != nil {
+		shlistener.Report(ctx, p.budget, p.Log)
+	}
+}
+
 // close closes all listeners and connections.
 func (p *process) close() error {
 	var errs []error
@@ -162,7 +208,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	for _, s := range p.http {
-		if err := s.accepts.Shutdown(ctx, s.Server); err != nil {
+		if err := s.shutdown(ctx); err != nil {
 			p.Log.Warn("requests still in progress at the end of the stop", "error", err)
 		}
 	}
