--- a/transport/shdaemon/memory_test.go
+++ b/cmd/sequoiahollow/memory_test.go
@@ -1,4 +1,4 @@
-package shdaemon
+package main
 
 import (
 	"context"
@@ -32,6 +32,9 @@
 	crowdBody     = 4 << 20
 )
 
+// crowdService is a service of the example configuration.
+const crowdService shmodel.Service = "field-sampling-records"
+
 // crowdDaemon is a process with all roles and the limits above, with a backend server
 // and another VM for the second copy of account records.
 type crowdDaemon struct {
@@ -58,7 +61,7 @@
 	startCrowdVM(t, program, second)
 	d.configure()
 	backend, err := shbackend.Start(shbackend.Config{
-		BackendServer: "records-1", Service: records, Address: "127.0.0.1:0", Slots: 3, Connections: 360,
+		BackendServer: "records-1", Service: crowdService, Address: "127.0.0.1:0", Slots: 3, Connections: 360,
 		Place: d.settings.Place(), ServiceTime: time.Millisecond, Owners: []string{d.settings.ServerAddress},
 	})
 	assert.NilError(t, err)
@@ -80,7 +83,7 @@
 		return l.Addr().String()
 	}
 	return shsettings.Settings{
-		VM: name, Region: south, FailureDomain: domain, Roles: roles, DataFolder: filepath.Join(folder, "data"),
+		VM: name, Region: "tasmania-south", FailureDomain: domain, Roles: roles, DataFolder: filepath.Join(folder, "data"),
 		CallerAddress: address(), ServerAddress: address(), PeerAddress: address(), OperatorAddress: address(),
 		OperatorTokenFile: tokenFile, MemoryMB: crowdMemoryMB, MaxFDs: crowdFDs,
 	}
@@ -98,13 +101,13 @@
 // configure applies the example configuration with a larger body limit.
 func (d *crowdDaemon) configure() {
 	d.t.Helper()
-	folder, err := shconfig.Load(exampleFolder + "/config")
+	folder, err := shconfig.Load("../../examples/huon-ridge/config")
 	assert.NilError(d.t, err)
-	service := folder.Config.Services[records]
+	service := folder.Config.Services[crowdService]
 	service.MaxBodyBytes = crowdBody
-	folder.Config.Services[records] = service
+	folder.Config.Services[crowdService] = service
 	operator := &shoperator.Client{Address: d.settings.OperatorAddress, Token: d.token}
-	eventually(d.t, "configuration accepted", func() bool {
+	waitFor(d.t, "configuration accepted", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		r, err := operator.Apply(ctx, shcontrol.ApplyConfig{EditID: "first", Config: folder.Config})
@@ -115,10 +118,10 @@
 // serves waits until an ordinary request is answered and the status is shown.
 func (d *crowdDaemon) serves() {
 	d.t.Helper()
-	eventually(d.t, "answer", func() bool {
+	waitFor(d.t, "answer", func() bool {
 		r, err := http.NewRequest(http.MethodGet, "http://"+d.settings.CallerAddress+"/plots", strings.NewReader(strings.Repeat("b", 100<<10)))
 		assert.NilError(d.t, err)
-		r.Header.Set(shwire.HeaderService, string(records))
+		r.Header.Set(shwire.HeaderService, string(crowdService))
 		client := http.Client{Timeout: 2 * time.Second}
 		response, err := client.Do(r)
 		if err != nil {
@@ -128,7 +131,7 @@
 		return response.Header.Get(shwire.HeaderOutcome) == string(shmodel.Answered)
 	})
 	operator := &shoperator.Client{Address: d.settings.OperatorAddress, Token: d.token}
-	eventually(d.t, "status", func() bool {
+	waitFor(d.t, "status", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		_, err := operator.Status(ctx)
@@ -139,8 +142,8 @@
 // Guards against a process that runs out of memory or descriptors, or stops serving,
 // because of clients that don't end their requests.
 func TestCrowd(t *testing.T) {
-	length := fmt.Sprintf("Host: a\r\n%s: %s\r\nContent-Length: %d\r\n", shwire.HeaderService, records, crowdBody)
-	chunked := fmt.Sprintf("Host: a\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n", shwire.HeaderService, records)
+	length := fmt.Sprintf("Host: a\r\n%s: %s\r\nContent-Length: %d\r\n", shwire.HeaderService, crowdService, crowdBody)
+	chunked := fmt.Sprintf("Host: a\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n", shwire.HeaderService, crowdService)
 	description := fmt.Sprintf(`{"request":{"ID":%q},"attempt":1,"uri":"/plots","leftMs":60000}`, shmodel.RequestID(7))
 	forward := "Sequoiahollow-Forward: " + base64.StdEncoding.EncodeToString([]byte(description)) + "\r\n"
 	slow := "GET / HTTP/1.1\r\nHost: a\r\nX-Filler: " + strings.Repeat("x", 12<<10)
@@ -179,3 +182,13 @@
 func callerAddress(s shsettings.Settings) string   { return s.CallerAddress }
 func serverAddress(s shsettings.Settings) string   { return s.ServerAddress }
 func operatorAddress(s shsettings.Settings) string { return s.OperatorAddress }
+
+// waitFor waits for a condition. No check of memory depends on the bound.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !condition(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
