Send callers to other entry VMs while the links of their own are short

The entry VMs of a failure domain with too many callers stopped answering, since all traffic waited in one queue, while links elsewhere were half used. The directory names further entry VMs by the delays that entry VMs measure on their calls to the leader.

--- a/coordination/shfleet/table.go
+++ b/coordination/shfleet/table.go
@@ -93,6 +93,8 @@
 	// keyed says that the table has teams, even if none of them has a key.
 	keyed   bool
 	uploads bool
+	// bound says that a route is bound to regions.
+	bound bool
 }
 
 // NewRouteIndex returns the index of a table.
@@ -102,6 +104,7 @@
 		r := &t.Routes[i]
 		x.hosts[r.Host] = append(x.hosts[r.Host], r)
 		x.uploads = x.uploads || r.Upload
+		x.bound = x.bound || len(r.Regions) > 0
 	}
 	for _, routes := range x.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -127,6 +130,9 @@
 // HasUploads reports whether the table has routes for uploads.
 func (x *RouteIndex) HasUploads() bool { return x != nil && x.uploads }
 
+// HasBoundRoutes reports whether a route of the table is bound to regions.
+func (x *RouteIndex) HasBoundRoutes() bool { return x != nil && x.bound }
+
 // Keyed reports whether the table has teams.
 func (x *RouteIndex) Keyed() bool { return x.keyed }
 
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -56,6 +56,7 @@
 	reportedCrashes map[reportedCrash]bool
 	homes           shhome.Table
 	loads           shload.Sums
+	linkDelays      map[shmodel.VM]linkDelay
 
 	allowances allowances
 
@@ -88,6 +89,7 @@
 		unreportedHeartbeats: map[shmodel.BackendServer]bool{},
 		announcedAt:          map[shmodel.BackendServer]time.Time{},
 		sequences:            map[shmodel.BackendServer]sequence{},
+		linkDelays:           map[shmodel.VM]linkDelay{},
 	}
 	store, err := shstore.Open(shstore.Config{
 		VM: config.VM, Address: config.PeerAddress, Folder: config.Folder,
@@ -183,6 +185,7 @@
 		clear(r.lastHeartbeat)
 		clear(r.lastWatch)
 		r.homes, r.loads = shhome.Table{}, shload.Sums{}
+		clear(r.linkDelays)
 		r.allowances = allowances{}
 	}
 }
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -1,7 +1,6 @@
 package shsteer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -41,6 +40,7 @@
 	origin       *shorigin.Client
 	account      *accountWriter
 	crashReports chan shfront.CrashReport
+	spread       spreader
 	seeds        atomic.Pointer[[]string]
 	closing      atomic.Bool
 	refusing     atomic.Bool
@@ -67,6 +67,7 @@
 		Changed: func(v shfleet.View) {
 			e.balancer.Update(time.Now(), v)
 			e.origin.Link.SetUploads(v.Table.HasUploads())
+			e.spread.setEntries(v.Entries)
 		},
 		RevokeWithin: shsettings.Seconds(s.RevokeSeconds),
 	}
@@ -146,32 +147,11 @@
 }
 
 // Directory returns the addresses of the entry VMs that a caller in a region and
-// failure domain should use: the ready ones of its failure domain, else of its
-// region, else all ready ones.
+// failure domain should use: the ready ones of its failure domain, else of its region,
+// else all ready ones. If their links are short, some of other failure domains are
+// added, and of other regions unless the table binds routes to regions.
 func (e *Entry) Directory(region shmodel.Region, zone shmodel.FailureDomain) []string {
-	nearest := 3
-	var addresses []string
-	entries := slices.Clone(e.watcher.View().Entries)
-	slices.SortFunc(entries, func(a, b shfleet.Entry) int { return cmp.Compare(a.VM, b.VM) })
-	for _, x := range entries {
-		distance := 2
-		switch {
-		case !x.Ready:
-			continue
-		case x.Zone == zone:
-			distance = 0
-		case x.Region == region:
-			distance = 1
-		}
-		if distance > nearest {
-			continue
-		}
-		if distance < nearest {
-			nearest, addresses = distance, nil
-		}
-		addresses = append(addresses, x.Address)
-	}
-	return addresses
+	return e.spread.addresses(region, zone, e.watcher.View().Table.HasBoundRoutes())
 }
 
 // report queues a crash report, or drops it if the queue is full. That is safe: if
