Serve the directory on control VMs

Entry VMs with short links could not answer look-ups, so that their callers could not be sent elsewhere.

--- a/coordination/shfleet/table.go
+++ b/coordination/shfleet/table.go
@@ -73,6 +73,11 @@
 	return errs
 }
 
+// HasBoundRoutes reports whether a route is bound to regions.
+func (t Table) HasBoundRoutes() bool {
+	return slices.ContainsFunc(t.Routes, func(r Route) bool { return len(r.Regions) > 0 })
+}
+
 func (t Team) validate() []error {
 	var errs []error
 	if t.Name == "" {
@@ -93,8 +98,7 @@
 	// keyed says that the table has teams, even if none of them has a key.
 	keyed   bool
 	uploads bool
-	// bound says that a route is bound to regions.
-	bound bool
+	bound   bool
 }
 
 // NewRouteIndex returns the index of a table.
@@ -104,7 +108,6 @@
 		r := &t.Routes[i]
 		x.hosts[r.Host] = append(x.hosts[r.Host], r)
 		x.uploads = x.uploads || r.Upload
-		x.bound = x.bound || len(r.Regions) > 0
 	}
 	for _, routes := range x.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -121,6 +124,7 @@
 		}
 	}
 	x.keyed = len(t.Teams) > 0
+	x.bound = t.HasBoundRoutes()
 	return x
 }
 
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -421,6 +421,7 @@
 	})
 	shpeer.Handle(r.config.Server, MethodWatch, r.watch)
 	shpeer.Handle(r.config.Server, MethodShare, r.share)
+	shpeer.Handle(r.config.Server, methodDelays, r.delays)
 	if r.config.Quota.Enabled() {
 		shpeer.Handle(r.config.Server, MethodAllowance, r.allowance)
 	}
--- a/transport/shregistry/share.go
+++ b/transport/shregistry/share.go
@@ -84,3 +84,34 @@
 	}
 	return delays
 }
+
+// EntryVMs returns the entry VMs that this VM knows, and the delays of their links as the
+// leader knows them.
+func (r *Registry) EntryVMs(ctx context.Context) ([]shfleet.Entry, map[shmodel.VM]shfleet.Millis, error) {
+	response, err := leaderCall[delaysResponse](ctx, r, methodDelays, empty{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.EntryVMs(), response.Delays, err
+}
+
+type delaysResponse struct {
+	Delays map[shmodel.VM]shfleet.Millis `json:"delaysMs"`
+}
+
+// delays handles methodDelays.
+func (r *Registry) delays(context.Context, empty) (delaysResponse, error) {
+	if !r.isLeading() {
+		return delaysResponse{}, r.notLeader(methodDelays)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return delaysResponse{r.reportedDelays(time.Now())}, nil
+}
+
+// HasBoundRoutes reports whether a route of the table that this VM knows is bound to
+// regions.
+func (r *Registry) HasBoundRoutes() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Document.Table.HasBoundRoutes()
+}
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -12,7 +12,6 @@
 	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shmemory"
-	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shfront"
 	"sequoiahollow/transport/shorigin"
@@ -22,7 +21,7 @@
 // EntryOptions provides an entry VM's HTTP interfaces and its settings updates.
 type EntryOptions struct {
 	Dialect   shfront.Dialect
-	Directory func(*Entry) http.Handler
+	Directory func(*Directory) http.Handler
 	Readiness func(*Entry) http.Handler
 	Metrics   Metrics
 	// Reload returns the current settings. If Reload is nil, the settings of the
@@ -40,7 +39,7 @@
 	origin       *shorigin.Client
 	account      *accountWriter
 	crashReports chan shfront.CrashReport
-	spread       spreader
+	directory    Directory
 	seeds        atomic.Pointer[[]string]
 	closing      atomic.Bool
 	refusing     atomic.Bool
@@ -58,6 +57,7 @@
 	e := &Entry{process: newProcess(s, log), origin: newOrigin(s), crashReports: make(chan shfront.CrashReport, maxQueuedReports)}
 	seeds := s.PeerSeeds()
 	e.seeds.Store(&seeds)
+	e.directory.CacheSeconds = s.CacheSeconds
 	place := shbalance.Place{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
 	e.balancer = shbalance.New(place)
 	e.balancer.HedgeShare = s.RepeatShare
@@ -67,7 +67,7 @@
 		Changed: func(v shfleet.View) {
 			e.balancer.Update(time.Now(), v)
 			e.origin.Link.SetUploads(v.Table.HasUploads())
-			e.spread.setEntries(v.Entries)
+			e.directory.setEntries(v.Entries, v.Table.HasBoundRoutes())
 		},
 		RevokeWithin: shsettings.Seconds(s.RevokeSeconds),
 	}
@@ -121,7 +121,7 @@
 		handler http.Handler
 	}{
 		{e.Settings.ReadinessAddress, options.Readiness(e)},
-		{e.Settings.DirectoryAddress, options.Directory(e)},
+		{e.Settings.DirectoryAddress, options.Directory(&e.directory)},
 	} {
 		if _, err := e.listen(x.address, x.handler); err != nil {
 			return err
@@ -146,14 +146,6 @@
 	}
 }
 
-// Directory returns the addresses of the entry VMs that a caller in a region and
-// failure domain should use: the ready ones of its failure domain, else of its region,
-// else all ready ones. If their links are short, some of other failure domains are
-// added, and of other regions unless the table binds routes to regions.
-func (e *Entry) Directory(region shmodel.Region, zone shmodel.FailureDomain) []string {
-	return e.spread.addresses(region, zone, e.watcher.View().Table.HasBoundRoutes())
-}
-
 // report queues a crash report, or drops it if the queue is full. That is safe: if
 // the request is sent again and crashes a backend server, it is reported again.
 func (e *Entry) report(r shfront.CrashReport) {
--- a/transport/shsteer/share.go
+++ b/transport/shsteer/share.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shhome"
-	"sequoiahollow/coordination/shspread"
-	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shleader"
 	"sequoiahollow/transport/shregistry"
 )
@@ -72,35 +69,7 @@
 		}
 		e.balancer.SetHomes(response.Homes, known.Epoch != "" && known.Epoch != response.Epoch)
 		e.balancer.SetOtherLoads(time.Now(), response.Busy)
-		e.spread.update(response.Delays)
+		e.directory.updateDelays(response.Delays)
 		known, keys = response, nil
 	}
 }
-
-// spreader is a Spread that the directory and the exchange with other entry VMs share.
-type spreader struct {
-	mu     sync.Mutex
-	spread shspread.Spread
-}
-
-func (s *spreader) setEntries(entries []shfleet.Entry) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.spread.SetEntries(entries)
-}
-
-func (s *spreader) update(delays map[shmodel.VM]shfleet.Millis) {
-	list := make(map[shmodel.VM]time.Duration, len(delays))
-	for vm, d := range delays {
-		list[vm] = d.Duration()
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.spread.Update(list)
-}
-
-func (s *spreader) addresses(region shmodel.Region, zone shmodel.FailureDomain, stay bool) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.spread.Addresses(region, zone, stay)
-}
