Name no entry VMs whose links do not move

With a third of its callers still sent to them, the entry VMs of a region answered nothing for 18 s after a burst of 6 s had saturated their links.

--- a/coordination/shspread/shspread.go
+++ b/coordination/shspread/shspread.go
@@ -43,9 +43,13 @@
 	maxFall = 0.25
 	// maxExtra bounds the extra entry VMs for each own one.
 	maxExtra = 2.0
-	// deadDelay is the delay from which an entry VM is not named if most of the own ones
-	// are below it.
+	// deadDelay is the delay from which an entry VM is not named while others may be. What
+	// its callers send only lengthens the queue, which then does not end for as long as
+	// they come back.
 	deadDelay = 400 * time.Millisecond
+	// minSubstitutes is the least number of entry VMs that are named in place of those of
+	// a failure domain whose links do not move.
+	minSubstitutes = 8
 )
 
 // Spread chooses entry VMs. The zero value names those of the own failure domain. It is
@@ -93,9 +97,16 @@
 		return nil
 	}
 	chosen := s.alive(own)
-	if own[0].Zone == zone {
+	switch {
+	case own[0].Zone != zone:
+	case len(chosen) == 0:
+		chosen = s.others(region, zone, stay, max(int((1+s.extra[zone])*float64(len(own))), minSubstitutes))
+	default:
 		chosen = append(chosen, s.others(region, zone, stay, int(s.extra[zone]*float64(len(own))+0.5))...)
 	}
+	if len(chosen) == 0 {
+		chosen = own
+	}
 	addresses := make([]string, len(chosen))
 	for i, e := range chosen {
 		addresses[i] = e.Address
@@ -126,7 +137,7 @@
 	return list
 }
 
-// alive leaves out the entry VMs whose links do not move, unless these are half of them.
+// alive leaves out the entry VMs whose links do not move.
 func (s *Spread) alive(own []shfleet.Entry) []shfleet.Entry {
 	var list []shfleet.Entry
 	for _, e := range own {
@@ -134,9 +145,6 @@
 			list = append(list, e)
 		}
 	}
-	if 2*len(list) <= len(own) {
-		return slices.Clone(own)
-	}
 	return list
 }
 
--- a/coordination/shspread/shspread_test.go
+++ b/coordination/shspread/shspread_test.go
@@ -93,6 +93,20 @@
 	assert.DeepEqual(t, count(&s, false), map[string]int{"n1": 4})
 }
 
+// Load: callers come back to a failure domain whose links have stopped moving, so that
+// its queues never end. Guards against an answer that names it, and against callers that
+// all return at once when the queues have ended.
+func TestDeadFailureDomain(t *testing.T) {
+	var s shspread.Spread
+	s.SetEntries(entries())
+	update(&s, 20, delays(shspread.MaxDelay, "n1"))
+	assert.DeepEqual(t, count(&s, true), map[string]int{"n2": 4})
+	assert.DeepEqual(t, count(&s, false), map[string]int{"n2": 4, "s1": 4})
+	update(&s, 1, nil)
+	got := count(&s, false)
+	assert.Assert(t, got["n1"] == 4 && got["n2"]+got["s1"] == 8, "%v", got)
+}
+
 // Guards against callers of a lost failure domain or region without any address.
 func TestLostPlaces(t *testing.T) {
 	var s shspread.Spread
