--- a/coordination/shfleet/table.go
+++ b/coordination/shfleet/table.go
@@ -73,9 +73,15 @@
 	return errs
 }
 
-// HasBoundRoutes reports whether a route is bound to regions.
-func (t Table) HasBoundRoutes() bool {
-	return slices.ContainsFunc(t.Routes, func(r Route) bool { return len(r.Regions) > 0 })
+// BoundHosts returns the hosts with routes that are bound to regions.
+func (t Table) BoundHosts() map[string]bool {
+	bound := map[string]bool{}
+	for _, r := range t.Routes {
+		if len(r.Regions) > 0 {
+			bound[r.Host] = true
+		}
+	}
+	return bound
 }
 
 func (t Team) validate() []error {
@@ -98,7 +104,7 @@
 	// keyed says that the table has teams, even if none of them has a key.
 	keyed   bool
 	uploads bool
-	bound   bool
+	bound   map[string]bool
 }
 
 // NewRouteIndex returns the index of a table.
@@ -124,7 +130,7 @@
 		}
 	}
 	x.keyed = len(t.Teams) > 0
-	x.bound = t.HasBoundRoutes()
+	x.bound = t.BoundHosts()
 	return x
 }
 
@@ -134,8 +140,13 @@
 // HasUploads reports whether the table has routes for uploads.
 func (x *RouteIndex) HasUploads() bool { return x != nil && x.uploads }
 
-// HasBoundRoutes reports whether a route of the table is bound to regions.
-func (x *RouteIndex) HasBoundRoutes() bool { return x != nil && x.bound }
+// BoundHosts returns the hosts with routes that are bound to regions.
+func (x *RouteIndex) BoundHosts() map[string]bool {
+	if x == nil {
+		return nil
+	}
+	return x.bound
+}
 
 // Keyed reports whether the table has teams.
 func (x *RouteIndex) Keyed() bool { return x.keyed }
--- a/coordination/shspread/shspread.go
+++ b/coordination/shspread/shspread.go
@@ -36,11 +36,11 @@
 	// step is the change of the extra entry VMs, for each own one, at an update with a
 	// delay of twice the target. Updates come every 300 ms and callers ask again after 1
 	// to 3 s.
-	step = 0.1
+	step = 0.15
 	// maxRise and maxFall bound the change in steps. Callers return slowly, so that they
 	// do not overload the links once more.
 	maxRise = 2.0
-	maxFall = 0.25
+	maxFall = 0.15
 	// maxExtra bounds the extra entry VMs for each own one.
 	maxExtra = 2.0
 	// deadDelay is the delay from which an entry VM is not named while others may be. What
@@ -148,8 +148,10 @@
 	return list
 }
 
-// others returns up to n entry VMs of other failure domains whose links have room. The
-// order differs between failure domains, so that they do not all choose the same.
+// others returns up to n entry VMs of other failure domains whose links have room. Those
+// with some delay are left out even if the own ones have more, since callers of a short
+// region would make theirs short too. The order differs between failure domains, so that
+// they do not all choose the same.
 func (s *Spread) others(region shmodel.Region, zone shmodel.FailureDomain, stay bool, n int) []shfleet.Entry {
 	list := s.matching(func(e shfleet.Entry) bool {
 		return e.Zone != zone && s.delays[e.VM] < TargetDelay/2 && (e.Region == region || !stay)
--- a/transport/shregistry/share.go
+++ b/transport/shregistry/share.go
@@ -108,10 +108,10 @@
 	return delaysResponse{r.reportedDelays(time.Now())}, nil
 }
 
-// HasBoundRoutes reports whether a route of the table that this VM knows is bound to
-// regions.
-func (r *Registry) HasBoundRoutes() bool {
+// BoundHosts returns the hosts with routes that are bound to regions, by the table that
+// this VM knows.
+func (r *Registry) BoundHosts() map[string]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.state.Document.Table.HasBoundRoutes()
+	return r.state.Document.Table.BoundHosts()
 }
--- a/transport/shsteer/directory.go
+++ b/transport/shsteer/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,24 +20,25 @@
 
 	mu     sync.Mutex
 	spread shspread.Spread
-	stay   bool
+	// bound are the hosts with routes that are bound to regions.
+	bound map[string]bool
 }
 
 // Addresses returns the addresses of the entry VMs that a caller in a region and failure
 // domain should use: the ready ones of its failure domain, else of its region, else all
 // ready ones. If their links are short, some of other failure domains are added, and of
-// other regions unless the routing table binds routes to regions.
-func (d *Directory) Addresses(region shmodel.Region, zone shmodel.FailureDomain) []string {
+// other regions unless the routing table binds routes of the host to regions.
+func (d *Directory) Addresses(host string, region shmodel.Region, zone shmodel.FailureDomain) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.spread.Addresses(region, zone, d.stay)
+	return d.spread.Addresses(region, zone, d.bound[strings.ToLower(host)])
 }
 
-func (d *Directory) setEntries(entries []shfleet.Entry, stay bool) {
+func (d *Directory) setEntries(entries []shfleet.Entry, bound map[string]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.spread.SetEntries(entries)
-	d.stay = stay
+	d.bound = bound
 }
 
 func (d *Directory) updateDelays(delays map[shmodel.VM]shfleet.Millis) {
@@ -61,7 +63,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
 		entries, delays, err := r.EntryVMs(callCtx)
 		cancel()
-		c.directory.setEntries(entries, r.HasBoundRoutes())
+		c.directory.setEntries(entries, r.BoundHosts())
 		if err != nil {
 			c.Log.Debug("delays of entry VMs not learned", "error", err)
 			continue
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -67,7 +67,7 @@
 		Changed: func(v shfleet.View) {
 			e.balancer.Update(time.Now(), v)
 			e.origin.Link.SetUploads(v.Table.HasUploads())
-			e.directory.setEntries(v.Entries, v.Table.HasBoundRoutes())
+			e.directory.setEntries(v.Entries, v.Table.BoundHosts())
 		},
 		RevokeWithin: shsettings.Seconds(s.RevokeSeconds),
 	}
