--- a/transport/shwatch/shwatch.go
+++ b/transport/shwatch/shwatch.go
@@ -36,6 +36,10 @@
 	searchTimeout = 5 * time.Second
 	// malformedPause is the pause after an answer that cannot be decoded.
 	malformedPause = 200 * time.Millisecond
+	// silentTime is how long a control VM whose answer was late is left out. An election
+	// is over 1.7 s after the loss of the leader (its longest timeout is 1.4 s), and the
+	// call to it has taken 1.1 s of that or more.
+	silentTime = 700 * time.Millisecond
 )
 
 // Watcher keeps a view up to date. Set the exported fields and call Run.
@@ -58,6 +62,7 @@
 
 	watchFinder      shleader.Finder // for the watch call, which has a longer timeout
 	finder           shleader.Finder
+	shareFinder      shleader.Finder
 	allowanceFinder  shleader.Finder // for asks, which have a shorter timeout
 	view             atomic.Pointer[shfleet.View]
 	lastAnswer       atomic.Pointer[time.Time] // nil before the first
@@ -122,9 +127,9 @@
 	return shleader.Call[shrecord.Range](ctx, &w.finder, w.Client, w.addresses, shregistry.MethodReserve, c)
 }
 
-// ShareHomes reports keys to the table of their homes and returns what is new there.
-func (w *Watcher) ShareHomes(ctx context.Context, q shregistry.HomesRequest) (shregistry.HomesResponse, error) {
-	return shleader.Call[shregistry.HomesResponse](ctx, &w.finder, w.Client, w.addresses, shregistry.MethodHomes, q)
+// Share tells the leader what this VM knows and returns what others told it.
+func (w *Watcher) Share(ctx context.Context, q shregistry.ShareRequest) (shregistry.ShareResponse, error) {
+	return shleader.Call[shregistry.ShareResponse](ctx, &w.shareFinder, w.Client, w.addresses, shregistry.MethodShare, q)
 }
 
 // ControlAddresses returns the peer addresses of the control VMs in the last
@@ -146,7 +151,7 @@
 	}
 	w.cancel = cancel
 	w.mu.Unlock()
-	w.watchFinder.CallTimeout = w.longestHold() + answerMargin
+	w.watchFinder.CallTimeout, w.watchFinder.SilentTime = w.longestHold()+answerMargin, silentTime
 	var sentAt time.Duration
 	response, err := shleader.CallEach[shregistry.WatchResponse](ctx, &w.watchFinder, w.Client, w.addresses, shregistry.MethodWatch, func() any {
 		sentAt = w.boot()
