--- a/coordination/shbalance/hedge.go
+++ b/coordination/shbalance/hedge.go
@@ -252,7 +252,7 @@
 		// count as warm.
 		c, _ := b.estimate(now, n, t, r, k, preferredBackends{})
 		c.loss = b.loss(now, n, r, c.Estimate)
-		if !b.mayHedge(now, n, c) || c.Estimate >= min(d.Rest, r.Left) {
+		if !b.mayHedge(now, n, c) || !n.hasRoom(r) || c.Estimate >= min(d.Rest, r.Left) {
 			continue
 		}
 		if best == nil || c.isBetterSecond(d.Choice, first) || !d.Choice.isBetterSecond(c, first) && ranksBefore(tie, n, best) {
@@ -266,6 +266,8 @@
 		d.Refused, d.Choice = HedgeLimit, Choice{}
 	default:
 		best.startRequest(now, k.name, math.Inf(1))
+		d.Choice.bodyBytes = counted(r.BodyBytes)
+		best.bodyBytes += d.Choice.bodyBytes
 	}
 	return d
 }
@@ -333,6 +335,7 @@
 	b.hedgeLimit(c.Backend.Service).Return()
 	if n := b.backends[c.Backend.ID]; n != nil && n.backend.Instance == c.Backend.Instance {
 		n.inFlight--
+		n.bodyBytes -= c.bodyBytes
 	}
 }
 
--- a/transport/shfront/hedge.go
+++ b/transport/shfront/hedge.go
@@ -122,6 +122,9 @@
 
 // consider decides on a second send and makes it.
 func (h *hedge) consider(due time.Time, after time.Duration) {
+	if len(h.first.results) > 0 {
+		return
+	}
 	now := time.Now()
 	b := h.handler.Balancer
 	h.decided = true
@@ -168,6 +171,10 @@
 		}
 		return result, true
 	}
+	if h.hedged && result == attemptWithheld {
+		// The other send may have been made. A further attempt meets the same check.
+		result = attemptMayRepeat
+	}
 	h.outcome = "failed"
 	return result, h.first == nil && h.second == nil
 }
--- a/transport/shfront/team.go
+++ b/transport/shfront/team.go
@@ -179,9 +179,11 @@
 		return false
 	}
 	team, refusal := x.checkKey(table, until, clock)
-	changed := refusal != "" || !sameTeam(team, x.team)
-	x.keyChanged.Store(changed)
-	return !changed
+	if refusal != "" || !sameTeam(team, x.team) {
+		x.keyChanged.Store(true)
+		return false
+	}
+	return true
 }
 
 // sameTeam reports whether requests of two teams are sent in the same way.
--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -22,6 +22,14 @@
 // Client sends requests to backend servers and reuses connections. The zero value
 // is ready to use. A Client is safe for concurrent use.
 type Client struct {
+	// Link is the network link of the VM.
+	Link Link
+
+	// MaxConnections bounds the open connections; zero means no bound. Beyond it, idle
+	// connections are closed, and requests that need a new one are withheld.
+	MaxConnections int
+
+	open      atomic.Int64
 	mu        sync.Mutex
 	idle      map[string][]*conn
 	idleCount int
@@ -37,6 +45,7 @@
 	// input is below reader and bounds what an answer may bring.
 	input  *boundedInput
 	held   *atomic.Int64 // of the Client
+	link   *Link
 	usedAt time.Time
 	// idleLimit is how long the connection may be idle.
 	idleLimit time.Duration
@@ -51,20 +60,11 @@
 	if err := r.checkMaySend(); err != nil {
 		return Response{}, err
 	}
-	x, reused := c.take(address, r.Once)
-	var connect time.Duration
-	if x == nil {
-		var err error
-		began := time.Now()
-		if x, err = dial(ctx, address, r.Deadline); err != nil && ctx.Err() != nil {
-			return Response{}, &Error{Op: "dial", Kind: KindCanceled, Err: context.Cause(ctx)}
-		}
-		if err != nil {
-			return Response{}, err
-		}
-		x.held = &c.held
-		connect = time.Since(began)
+	x, connect, err := c.connection(ctx, address, r)
+	if err != nil {
+		return Response{}, err
 	}
+	reused := connect == 0
 	stop := context.AfterFunc(ctx, func() { x.Close() })
 	response, keep, sent, err := exchange(x, r)
 	response.Reused, response.Connect = reused, connect
@@ -90,6 +90,21 @@
 	return response, err
 }
 
+// connection returns a connection to a backend server and the time that it took to open it,
+// zero for an idle one.
+func (c *Client) connection(ctx context.Context, address string, r Request) (*conn, time.Duration, error) {
+	if x := c.idleConn(address, r.Once); x != nil {
+		return x, 0, nil
+	}
+	began := time.Now()
+	x, err := c.dial(ctx, address, min(c.Link.dialTimeout(), time.Until(r.Deadline)))
+	if err != nil {
+		return nil, 0, err
+	}
+	x.link = &c.Link
+	return x, max(time.Since(began), 1), nil
+}
+
 func (r Request) checkMaySend() error {
 	if r.MaySend == nil || r.MaySend() {
 		return nil
@@ -140,8 +155,8 @@
 	return nil
 }
 
-func dial(ctx context.Context, address string, deadline time.Time) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout, time.Until(deadline)))
+func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	d := net.Dialer{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
@@ -181,21 +196,20 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 const tcpUserTimeout = 0x12
 
-// take returns an idle connection, or nil if there is no usable one, and whether
-// there is one.
-func (c *Client) take(address string, once bool) (*conn, bool) {
+// idleConn returns an idle connection, or nil if there is no usable one.
+func (c *Client) idleConn(address string, once bool) *conn {
 	now := time.Now()
 	for {
 		x := c.pop(address)
 		if x == nil {
-			return nil, false
+			return nil
 		}
 		limit := x.idleLimit
 		if once {
 			limit = min(limit, maxIdleOnce)
 		}
 		if now.Sub(x.usedAt) < limit && x.hasNoInput() {
-			return x, true
+			return x
 		}
 		x.Close()
 	}
@@ -340,7 +354,7 @@
 				Status: answer.StatusCode, Header: answer.Header, Stream: answer.Body, Length: answer.ContentLength,
 			}, keep, nil
 		}
-		body, err := x.readBody(answer)
+		body, err := x.readBody(r, answer)
 		if err != nil {
 			return Response{Status: answer.StatusCode, Header: answer.Header}, false, transferError("read body", err)
 		}
@@ -356,16 +370,27 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// readBody reads a body that is held until it is complete. Beyond the first
-// bodyStep bytes it takes memory from what all such bodies share, a step at a time.
-// The steps are joined only at the end: a buffer that grows would leave as much
-// garbage again.
-func (x *conn) readBody(answer *http.Response) ([]byte, error) {
-	reserved := int64(0)
-	defer func() { x.held.Add(-reserved) }()
+// readBody reads a body that is held until it is complete. It takes memory a step at a
+// time. The steps are joined only at the end, for which memory is taken once more: a
+// buffer that grows would leave as much garbage again.
+func (x *conn) readBody(r Request, answer *http.Response) ([]byte, error) {
+	memory := r.Hold
+	if memory == nil {
+		shared := &sharedHold{held: x.held}
+		defer shared.release()
+		memory = shared
+	}
+	step := int64(bodyStep)
+	if n := answer.ContentLength; n >= 0 {
+		step = min(step, n)
+	}
+	if err := memory.Reserve(step); err != nil {
+		return nil, r.noMemory(0, err)
+	}
 	x.input.left = bodyStep + maxHead
 	first, err := io.ReadAll(io.LimitReader(answer.Body, bodyStep))
 	if err != nil || len(first) < bodyStep {
+		memory.Release(step - min(step, int64(len(first))))
 		return first, err
 	}
 	for steps := [][]byte{first}; ; {
@@ -373,9 +398,8 @@
 		if read >= maxBody {
 			return nil, fmt.Errorf("a body of %d bytes or more", maxBody)
 		}
-		reserved += bodyStep
-		if x.held.Add(bodyStep) > maxHeldBytes {
-			return nil, fmt.Errorf("no memory for a body of %d bytes or more", read)
+		if err := memory.Reserve(2 * bodyStep); err != nil {
+			return nil, r.noMemory(read, err)
 		}
 		step := make([]byte, bodyStep)
 		x.input.left = bodyStep + maxHead
@@ -385,7 +409,9 @@
 		case err != nil:
 			return nil, err
 		case n < bodyStep:
-			return bytes.Join(steps, nil), nil
+			body := bytes.Join(steps, nil)
+			memory.Release(int64(len(steps)-1) * bodyStep)
+			return body, nil
 		}
 	}
 }
@@ -415,7 +441,10 @@
 func transferError(op string, err error) *Error {
 	kind := KindGarbled
 	var netErr net.Error
+	var short noMemoryError
 	switch {
+	case errors.As(err, &short):
+		kind = KindNoMemory
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		kind = KindBroken
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ETIMEDOUT):
