--- a/coordination/shfleet/table.go
+++ b/coordination/shfleet/table.go
@@ -73,6 +73,11 @@
 	return errs
 }
 
+// HasBoundRoutes reports whether a route is bound to regions.
+func (t Table) HasBoundRoutes() bool {
+	return slices.ContainsFunc(t.Routes, func(r Route) bool { return len(r.Regions) > 0 })
+}
+
 func (t Team) validate() []error {
 	var errs []error
 	if t.Name == "" {
@@ -93,6 +98,7 @@
 	// keyed says that the table has teams, even if none of them has a key.
 	keyed   bool
 	uploads bool
+	bound   bool
 }
 
 // NewRouteIndex returns the index of a table.
@@ -118,6 +124,7 @@
 		}
 	}
 	x.keyed = len(t.Teams) > 0
+	x.bound = t.HasBoundRoutes()
 	return x
 }
 
@@ -127,6 +134,9 @@
 // HasUploads reports whether the table has routes for uploads.
 func (x *RouteIndex) HasUploads() bool { return x != nil && x.uploads }
 
+// HasBoundRoutes reports whether a route of the table is bound to regions.
+func (x *RouteIndex) HasBoundRoutes() bool { return x != nil && x.bound }
+
 // Keyed reports whether the table has teams.
 func (x *RouteIndex) Keyed() bool { return x.keyed }
 
