--- a/transport/shleader/shleader.go
+++ b/transport/shleader/shleader.go
@@ -56,9 +56,15 @@
 type Finder struct {
 	// CallTimeout bounds one attempt; zero means DefaultCallTimeout.
 	CallTimeout time.Duration
+	// SilentTime is how long a VM is left out after a call to it has timed out, unless it
+	// is the only one; zero means not at all. Until the others elect a new leader they
+	// name the lost one, and another call to that would take another timeout.
+	SilentTime time.Duration
 
 	mu     sync.Mutex
 	leader string
+	// silent holds when the last call to an address timed out.
+	silent map[string]time.Time
 }
 
 // Call calls a method of the leader and repeats the call until a leader answers or
@@ -76,7 +82,7 @@
 	var lastErr error
 	for attempt := 0; ; attempt++ {
 		known := addresses()
-		address := f.target(known, attempt)
+		address := f.target(time.Now(), known, attempt)
 		if address == "" {
 			return zero, &Error{Op: method, Kind: KindUnavailable, Err: errors.New("no control VM is known")}
 		}
@@ -86,11 +92,14 @@
 			return response, nil
 		}
 		lastErr = err
-		f.updateAfterError(address, err)
+		if shpeer.KindOf(err) == shpeer.KindTimeout && ctx.Err() == nil {
+			f.setSilent(time.Now(), address)
+		}
+		usable := f.updateAfterError(time.Now(), address, err)
 		if shpeer.KindOf(err) == shpeer.KindInvalid {
 			return zero, &Error{Op: method, Kind: KindInvalid, Err: err}
 		}
-		if attempt%(len(known)+1) == len(known) {
+		if !usable || attempt%(len(known)+1) == len(known) {
 			Pause(ctx, retryPause)
 		}
 		if ctx.Err() != nil {
@@ -117,10 +126,17 @@
 }
 
 // target returns the address of the known leader, or else the address for the
-// number of the attempt, in turn.
-func (f *Finder) target(addresses []string, attempt int) string {
-	if leader := f.Known(); leader != "" {
-		return leader
+// number of the attempt, in turn, of those that are not silent.
+func (f *Finder) target(now time.Time, addresses []string, attempt int) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leader != "" {
+		return f.leader
+	}
+	for i := range addresses {
+		if a := addresses[(attempt+i)%len(addresses)]; !f.isSilent(now, a) {
+			return a
+		}
 	}
 	if len(addresses) == 0 {
 		return ""
@@ -128,15 +144,31 @@
 	return addresses[attempt%len(addresses)]
 }
 
+func (f *Finder) isSilent(now time.Time, address string) bool {
+	at, ok := f.silent[address]
+	return ok && now.Sub(at) < f.SilentTime
+}
+
 func (f *Finder) setLeader(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leader = address
+	delete(f.silent, address)
+}
+
+func (f *Finder) setSilent(now time.Time, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent == nil {
+		f.silent = map[string]time.Time{}
+	}
+	f.silent[address] = now
 }
 
-// updateAfterError stores the leader that the error of a call names. If the error
-// names no other VM and the call went to the stored leader, that one is deleted.
-func (f *Finder) updateAfterError(tried string, err error) {
+// updateAfterError stores the leader that the error of a call names, unless that one
+// is silent; it then returns false. If the error names no other VM and the call went to
+// the stored leader, that one is deleted.
+func (f *Finder) updateAfterError(now time.Time, tried string, err error) bool {
 	var hint shwire.LeaderHint
 	leader := ""
 	if e, ok := errors.AsType[*shpeer.Error](err); ok && len(e.Data) > 0 && json.Unmarshal(e.Data, &hint) == nil {
@@ -144,13 +176,15 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if leader != "" && leader != tried {
+	usable := !f.isSilent(now, leader)
+	if leader != "" && leader != tried && usable {
 		f.leader = leader
-		return
+		return true
 	}
 	if f.leader == tried {
 		f.leader = ""
 	}
+	return usable
 }
 
 // Pause waits for d or until the context ends.
--- a/transport/shwatch/shwatch.go
+++ b/transport/shwatch/shwatch.go
@@ -36,6 +36,10 @@
 	searchTimeout = 5 * time.Second
 	// malformedPause is the pause after an answer that cannot be decoded.
 	malformedPause = 200 * time.Millisecond
+	// silentTime is how long a control VM whose answer was late is left out. An election
+	// is over 1.7 s after the loss of the leader (its longest timeout is 1.4 s), and the
+	// call to it has taken 1.1 s of that or more.
+	silentTime = 700 * time.Millisecond
 )
 
 // Watcher keeps a view up to date. Set the exported fields and call Run.
@@ -147,7 +151,7 @@
 	}
 	w.cancel = cancel
 	w.mu.Unlock()
-	w.watchFinder.CallTimeout = w.longestHold() + answerMargin
+	w.watchFinder.CallTimeout, w.watchFinder.SilentTime = w.longestHold()+answerMargin, silentTime
 	var sentAt time.Duration
 	response, err := shleader.CallEach[shregistry.WatchResponse](ctx, &w.watchFinder, w.Client, w.addresses, shregistry.MethodWatch, func() any {
 		sentAt = w.boot()
