--- a/coordination/shquota/compare_test.go
+++ b/coordination/shquota/compare_test.go
@@ -145,6 +145,10 @@
 				f.passed["a"] = append(f.passed["a"], &pass{at: f.now})
 			}
 		}
+		if w == fixedParts {
+			f.now = f.now.Add(step)
+			continue
+		}
 		f.advance(func() time.Duration { return step / 2 })
 	}
 	for _, p := range f.passed["a"] {
--- a/transport/shallowance/shallowance.go
+++ b/transport/shallowance/shallowance.go
@@ -11,8 +11,8 @@
 
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shquota"
+	"sequoiahollow/state/shclock"
 	"sequoiahollow/state/shmodel"
-	"sequoiahollow/transport/internal/shclock"
 )
 
 const (
@@ -71,7 +71,7 @@
 	for i, e := range v.Entries {
 		vms[i] = e.VM
 	}
-	h.account.Update(shclock.Boot(), h.limits, vms)
+	h.account.Update(shclock.Time(), h.limits, vms)
 }
 
 // Take implements shfront.Allowance.
@@ -79,9 +79,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.signal()
-	r := shquota.Request{Team: team.Name, At: shclock.Boot()}
+	r := shquota.Request{Team: team.Name, At: shclock.Time()}
 	for {
-		now := shclock.Boot()
+		now := shclock.Time()
 		switch d := h.account.Take(now, &r).(type) {
 		case shquota.Passed:
 			return d.Ticket, true, 0
@@ -118,7 +118,7 @@
 func (h *Holder) Return(t shquota.Ticket) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.account.Return(shclock.Boot(), t)
+	h.account.Return(shclock.Time(), t)
 }
 
 // Stats returns the counts so far and the time since the last answer of the leader,
@@ -130,7 +130,7 @@
 	if s.AnsweredAt.IsZero() {
 		return s, 0, false
 	}
-	return s, shclock.Boot().Sub(s.AnsweredAt), true
+	return s, shclock.Time().Sub(s.AnsweredAt), true
 }
 
 func (h *Holder) signal() {
@@ -144,7 +144,7 @@
 func (h *Holder) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		h.mu.Lock()
-		ask, wait, due := h.account.NextAsk(shclock.Boot())
+		ask, wait, due := h.account.NextAsk(shclock.Time())
 		h.mu.Unlock()
 		if due {
 			h.ask(ctx, ask)
@@ -169,7 +169,7 @@
 	h.mu.Lock()
 	lost := h.account.Cut()
 	if err == nil {
-		h.account.Answered(shclock.Boot(), answer)
+		h.account.Answered(shclock.Time(), answer)
 	} else {
 		h.account.Failed()
 	}
--- a/transport/shregistry/allowance.go
+++ b/transport/shregistry/allowance.go
@@ -8,7 +8,7 @@
 
 	"sequoiahollow/coordination/shquota"
 	"sequoiahollow/coordination/shraft"
-	"sequoiahollow/transport/internal/shclock"
+	"sequoiahollow/state/shclock"
 )
 
 // allowances holds the buckets of the teams while this VM leads.
@@ -26,7 +26,7 @@
 	if r.leaderSince.IsZero() || time.Since(confirmed) > shraft.DefaultElectionTimeout {
 		return shquota.Answer{}, r.notLeader(MethodAllowance)
 	}
-	now := shclock.Boot()
+	now := shclock.Time()
 	return r.quotaLeader(now).Ask(now, a), nil
 }
 
@@ -65,6 +65,6 @@
 	if r.leaderSince.IsZero() {
 		return nil, r.notLeader("allowances")
 	}
-	now := shclock.Boot()
+	now := shclock.Time()
 	return r.quotaLeader(now).Usage(now), nil
 }
