Bridge only teams large enough, and test allowances end to end

A new leader held back teams whose entry VMs had too little demand for bridges: a team with rate 300 without any lost 4.4 to 4.9 % of 30 s when the leader was replaced. Requests that wait now also take what a bridge yields meanwhile.

--- a/coordination/shquota/account.go
+++ b/coordination/shquota/account.go
@@ -225,10 +225,15 @@
 		h.refused++
 		a.stats.Cut++
 		return Refused{After: cutRetryAfter}
-	case waited < spareAfter:
-		return Waiting{Until: r.At.Add(spareAfter)}
 	}
-	return Waiting{Until: r.At.Add(waitLimit)}
+	next := r.At.Add(waitLimit)
+	if waited < spareAfter {
+		next = r.At.Add(spareAfter)
+	}
+	if at, ok := h.bridge.nextAt(now); ok {
+		next = earlier(next, at)
+	}
+	return Waiting{Until: next}
 }
 
 // Return gives back the token of a request that has certainly not run.
@@ -331,7 +336,7 @@
 		w.Bridge = &held
 	}
 	expected := h.demand * h.plan.TokenLife.Seconds() * aheadShare
-	if expected >= 1 {
+	if h.demand*h.plan.TokenLife.Seconds() >= 1 {
 		w.Rate = h.demand
 	}
 	if held := float64(max(tokens-h.waiting, 0)); expected >= 1 && held < expected/2 {
--- a/coordination/shquota/bridge.go
+++ b/coordination/shquota/bridge.go
@@ -26,9 +26,10 @@
 	// bridgeDemand is the number of tokens that each entry VM could use in a lifetime of
 	// tokens, if the rate is divided evenly, from which a team has bridges. A new leader
 	// assumes those of the last one from assumedDemand on, since the number of entry VMs
-	// may have risen a little in between.
-	bridgeDemand  = 1.5
-	assumedDemand = 1.4
+	// may have risen a little in between. Below that, the rate that a new leader issues
+	// at once would not suffice for demand too small for bridges.
+	bridgeDemand  = 2.5
+	assumedDemand = 2.3
 )
 
 // Bridge is a rate that an entry VM may use from bridgeFrom until bridgeUntil after it
@@ -65,6 +66,16 @@
 	return Ticket{bucket: &h.bucket, stamp: stamp}, n == 1
 }
 
+// nextAt returns when the bridge has its next token, false if it ends before.
+func (h *heldBridge) nextAt(now time.Time) (time.Time, bool) {
+	if h == nil {
+		return now, false
+	}
+	missing := max(1-h.bucket.level, 0)
+	at := later(now, h.bucket.refilledAt).Add(time.Duration(missing / h.Rate * float64(time.Second)))
+	return at.Add(time.Millisecond), at.Before(h.until)
+}
+
 // renewIn returns the time until the bridge is to be replaced.
 func (h *heldBridge) renewIn(now time.Time) time.Duration {
 	if h == nil {
--- a/coordination/shquota/compare_test.go
+++ b/coordination/shquota/compare_test.go
@@ -54,6 +54,11 @@
 			f.elect()
 		}
 	}, true},
+	{"leader replaced at half", func(float64) float64 { return 0.5 }, anyVM, func(f *fleet, n int, _ shquota.Limit) {
+		if n == seconds(10) {
+			f.elect()
+		}
+	}, false},
 	{"leader replaced", steady, anyVM, func(f *fleet, n int, _ shquota.Limit) {
 		if n == seconds(10) {
 			f.elect()
--- a/coordination/shquota/fleet_test.go
+++ b/coordination/shquota/fleet_test.go
@@ -33,8 +33,11 @@
 
 // entry is an entry VM.
 type entry struct {
-	account     *shquota.Account
-	waiting     []*shquota.Request
+	account *shquota.Account
+	// waiting are requests that wait until a time, or until the next end of an ask,
+	// after which answered is set.
+	waiting     map[*shquota.Request]time.Time
+	answered    bool
 	cut         bool
 	frozenUntil time.Time
 	asks        int
@@ -57,7 +60,7 @@
 func newFleet(size int, limits map[string]shquota.Limit) *fleet {
 	f := &fleet{now: start, passed: map[string][]*pass{}, limits: limits}
 	for i := range size {
-		f.entries = append(f.entries, &entry{account: newAccount(i, 1)})
+		f.entries = append(f.entries, &entry{account: newAccount(i, 1), waiting: map[*shquota.Request]time.Time{}})
 	}
 	f.setLimits(limits)
 	f.elect()
@@ -110,11 +113,12 @@
 }
 
 func (f *fleet) take(x *entry, r *shquota.Request) {
+	delete(x.waiting, r)
 	switch d := x.account.Take(f.now, r).(type) {
 	case shquota.Passed:
 		f.passed[r.Team] = append(f.passed[r.Team], &pass{at: f.now, by: x.account, ticket: d.Ticket})
 	case shquota.Waiting:
-		x.waiting = append(x.waiting, r)
+		x.waiting[r] = d.Until
 	}
 }
 
@@ -139,11 +143,7 @@
 		if f.now.Before(x.frozenUntil) {
 			continue
 		}
-		waiting := x.waiting
-		x.waiting = nil
-		for _, r := range waiting {
-			f.take(x, r)
-		}
+		f.retake(x)
 		if ask, _, due := x.account.NextAsk(f.now); due {
 			x.asks++
 			for i := range ask.Wants {
@@ -156,6 +156,21 @@
 	}
 }
 
+// retake decides again on the requests that wait, the oldest first.
+func (f *fleet) retake(x *entry) {
+	var due []*shquota.Request
+	for r, until := range x.waiting {
+		if x.answered || !f.now.Before(until) {
+			due = append(due, r)
+		}
+	}
+	x.answered = false
+	slices.SortFunc(due, func(a, b *shquota.Request) int { return a.At.Compare(b.At) })
+	for _, r := range due {
+		f.take(x, r)
+	}
+}
+
 // ask sends an ask and its answer over the line. The entry VM takes an answer that needs
 // too long as lost.
 func (f *fleet) ask(x *entry, ask shquota.Ask, delay func() time.Duration) {
@@ -163,7 +178,7 @@
 	account, sent, ended := x.account, f.now, false
 	f.send(timeout, func() {
 		if !ended && account == x.account {
-			ended = true
+			ended, x.answered = true, true
 			account.Failed()
 		}
 	})
@@ -195,7 +210,7 @@
 	if *ended || account != x.account || f.now.After(limit) {
 		return
 	}
-	*ended = true
+	*ended, x.answered = true, true
 	account.Answered(f.now, answer)
 }
 
--- a/coordination/shquota/rule_test.go
+++ b/coordination/shquota/rule_test.go
@@ -98,7 +98,8 @@
 		}
 	case 7:
 		c.processes++
-		x.account, x.waiting, x.cut = newAccount(i, c.processes), nil, false
+		x.account, x.cut = newAccount(i, c.processes), false
+		clear(x.waiting)
 		c.update(i)
 	case 8:
 		c.changes = append(c.changes, change{c.now, c.drawLimit()})
