--- a/coordination/shquota/compare_test.go
+++ b/coordination/shquota/compare_test.go
@@ -54,6 +54,11 @@
 			f.elect()
 		}
 	}, true},
+	{"leader replaced at half", func(float64) float64 { return 0.5 }, anyVM, func(f *fleet, n int, _ shquota.Limit) {
+		if n == seconds(10) {
+			f.elect()
+		}
+	}, false},
 	{"leader replaced", steady, anyVM, func(f *fleet, n int, _ shquota.Limit) {
 		if n == seconds(10) {
 			f.elect()
@@ -145,6 +150,10 @@
 				f.passed["a"] = append(f.passed["a"], &pass{at: f.now})
 			}
 		}
+		if w == fixedParts {
+			f.now = f.now.Add(step)
+			continue
+		}
 		f.advance(func() time.Duration { return step / 2 })
 	}
 	for _, p := range f.passed["a"] {
