--- a/coordination/shquota/account.go
+++ b/coordination/shquota/account.go
@@ -211,20 +211,9 @@
 			return Passed{Ticket{bucket: &h.spare, stamp: stamp}}
 		}
 	}
-	// A request is refused only after an ask for it, so that refusals do not keep the
-	// VM from asking, or if more wait than tokens can come.
-	covered := !h.answered.Before(r.At)
-	crowded := !r.waits && float64(h.waiting) > h.limit.Rate*waitLimit.Seconds()
-	until := h.emptyUntil.Sub(now)
-	switch {
-	case !a.cut && until > waitLimit-waited && (covered || crowded), covered && waited >= waitLimit:
+	if after, refused := a.refuse(now, h, r); refused {
 		h.refused++
-		a.stats.Refused++
-		return Refused{After: max(until, 0)}
-	case waited >= waitLimit, crowded && float64(h.waiting) > h.limit.Rate*waitLimit.Seconds()+h.limit.Burst:
-		h.refused++
-		a.stats.Cut++
-		return Refused{After: cutRetryAfter}
+		return Refused{After: after}
 	}
 	next := r.At.Add(waitLimit)
 	if waited < spareAfter {
@@ -236,6 +225,29 @@
 	return Waiting{Until: next}
 }
 
+// refuse reports whether a request without a token is refused, and for how long. That is
+// only after an ask for it, so that refusals do not keep the VM from asking, or if more
+// requests wait than tokens can come.
+func (a *Account) refuse(now time.Time, h *holding, r *Request) (after time.Duration, refused bool) {
+	waited := now.Sub(r.At)
+	covered := !h.answered.Before(r.At)
+	bound := h.limit.Rate * waitLimit.Seconds()
+	crowded := !r.waits && float64(h.waiting) > bound
+	until := h.emptyUntil.Sub(now)
+	switch {
+	case !a.cut && until > waitLimit-waited && (covered || crowded), covered && waited >= waitLimit:
+		a.stats.Refused++
+		return max(until, 0), true
+	case !a.cut && crowded && float64(h.waiting) > bound+h.limit.Burst:
+		a.stats.Refused++
+		return waitLimit, true
+	case waited >= waitLimit, a.cut && crowded:
+		a.stats.Cut++
+		return cutRetryAfter, true
+	}
+	return 0, false
+}
+
 // Return gives back the token of a request that has certainly not run.
 func (a *Account) Return(now time.Time, t Ticket) {
 	switch {
--- a/transport/shsteer/allowance.go
+++ b/transport/shsteer/allowance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 
@@ -11,6 +12,7 @@
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shallowance"
 	"sequoiahollow/transport/shfront"
+	"sequoiahollow/transport/shstore"
 )
 
 // quotaRules returns how the settings measure the allowances of teams.
@@ -63,7 +65,8 @@
 	})
 }
 
-// serveAllowances adds the handler that lists the use of allowances to a mux.
+// serveAllowances adds the handler that lists the use of allowances to a mux. Only the
+// leader knows it; other VMs answer with 421 and the name of the leader.
 func (c *Control) serveAllowances(mux *http.ServeMux) {
 	mux.HandleFunc("GET /v1/allowances", func(w http.ResponseWriter, _ *http.Request) {
 		r := c.Registry()
@@ -72,7 +75,11 @@
 			return
 		}
 		usage, err := r.Allowances()
-		if err != nil {
+		switch {
+		case shstore.KindOf(err) == shstore.KindNotLeader:
+			http.Error(w, fmt.Sprintf("the leader is %q", r.Status().Leader.VM), http.StatusMisdirectedRequest)
+			return
+		case err != nil:
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
