Take back the spread of callers by the delay of links

Callers sent to another region made its links short too, and a frozen control VM that serves the directory costs its callers a second a look-up.

--- a/coordination/shfleet/table.go
+++ b/coordination/shfleet/table.go
@@ -73,17 +73,6 @@
 	return errs
 }
 
-// BoundHosts returns the hosts with routes that are bound to regions.
-func (t Table) BoundHosts() map[string]bool {
-	bound := map[string]bool{}
-	for _, r := range t.Routes {
-		if len(r.Regions) > 0 {
-			bound[r.Host] = true
-		}
-	}
-	return bound
-}
-
 func (t Team) validate() []error {
 	var errs []error
 	if t.Name == "" {
@@ -104,7 +93,6 @@
 	// keyed says that the table has teams, even if none of them has a key.
 	keyed   bool
 	uploads bool
-	bound   map[string]bool
 }
 
 // NewRouteIndex returns the index of a table.
@@ -130,7 +118,6 @@
 		}
 	}
 	x.keyed = len(t.Teams) > 0
-	x.bound = t.BoundHosts()
 	return x
 }
 
@@ -140,14 +127,6 @@
 // HasUploads reports whether the table has routes for uploads.
 func (x *RouteIndex) HasUploads() bool { return x != nil && x.uploads }
 
-// BoundHosts returns the hosts with routes that are bound to regions.
-func (x *RouteIndex) BoundHosts() map[string]bool {
-	if x == nil {
-		return nil
-	}
-	return x.bound
-}
-
 // Keyed reports whether the table has teams.
 func (x *RouteIndex) Keyed() bool { return x.keyed }
 
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -56,7 +56,6 @@
 	reportedCrashes map[reportedCrash]bool
 	homes           shhome.Table
 	loads           shload.Sums
-	linkDelays      map[shmodel.VM]linkDelay
 
 	allowances allowances
 
@@ -89,7 +88,6 @@
 		unreportedHeartbeats: map[shmodel.BackendServer]bool{},
 		announcedAt:          map[shmodel.BackendServer]time.Time{},
 		sequences:            map[shmodel.BackendServer]sequence{},
-		linkDelays:           map[shmodel.VM]linkDelay{},
 	}
 	store, err := shstore.Open(shstore.Config{
 		VM: config.VM, Address: config.PeerAddress, Folder: config.Folder,
@@ -185,7 +183,6 @@
 		clear(r.lastHeartbeat)
 		clear(r.lastWatch)
 		r.homes, r.loads = shhome.Table{}, shload.Sums{}
-		clear(r.linkDelays)
 		r.allowances = allowances{}
 	}
 }
@@ -421,7 +418,6 @@
 	})
 	shpeer.Handle(r.config.Server, MethodWatch, r.watch)
 	shpeer.Handle(r.config.Server, MethodShare, r.share)
-	shpeer.Handle(r.config.Server, methodDelays, r.delays)
 	if r.config.Quota.Enabled() {
 		shpeer.Handle(r.config.Server, MethodAllowance, r.allowance)
 	}
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -96,8 +96,7 @@
 	// MethodWatch takes a WatchRequest and returns a WatchResponse.
 	MethodWatch = "fleet.watch"
 	// MethodShare takes a ShareRequest and returns a ShareResponse.
-	MethodShare  = "fleet.share"
-	methodDelays = "fleet.delays"
+	MethodShare = "fleet.share"
 	// MethodAllowance takes a shquota.Ask and returns a shquota.Answer.
 	MethodAllowance = "fleet.allowance"
 )
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -19,17 +19,13 @@
 // ControlOptions provides a control VM's HTTP interfaces.
 type ControlOptions struct {
 	Control func(*Control) http.Handler
-	// Directory serves callers that ask for entry VMs, if the settings have an address
-	// for it.
-	Directory func(*Directory) http.Handler
-	Metrics   Metrics
+	Metrics Metrics
 }
 
 // Control is a running control VM.
 type Control struct {
 	*process
-	registry  atomic.Pointer[shregistry.Registry]
-	directory Directory
+	registry atomic.Pointer[shregistry.Registry]
 }
 
 // Registry returns the registry, which holds the replicated state, or nil while it
@@ -38,7 +34,7 @@
 
 // RunControl runs a control VM until ctx ends, then stops gracefully.
 func RunControl(ctx context.Context, s shsettings.Fleet, options ControlOptions, log *slog.Logger) error {
-	c := &Control{process: newProcess(s, log), directory: Directory{CacheSeconds: s.CacheSeconds}}
+	c := &Control{process: newProcess(s, log)}
 	c.addGauges()
 	if err := c.serve(options); err != nil {
 		return errors.Join(err, c.close())
@@ -52,9 +48,6 @@
 		defer close(finished)
 		var running sync.WaitGroup
 		running.Go(func() { c.keepAccountOpen(background) })
-		if s.DirectoryAddress != "" {
-			running.Go(func() { c.followEntries(background) })
-		}
 		c.keepRegistryOpen(background)
 		running.Wait()
 	}()
@@ -77,11 +70,6 @@
 	if _, err := c.listen(c.Settings.ControlAddress, options.Control(c)); err != nil {
 		return err
 	}
-	if options.Directory != nil {
-		if _, err := c.listen(c.Settings.DirectoryAddress, options.Directory(&c.directory)); err != nil {
-			return err
-		}
-	}
 	return c.listenMetrics(options.Metrics.Address, options.Metrics.Path, func(mux *http.ServeMux) {
 		c.serveAccount(mux)
 		c.serveObservers(mux)
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -1,6 +1,7 @@
 package shsteer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -12,6 +13,7 @@
 	"sequoiahollow/coordination/shbalance"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shmemory"
+	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shfront"
 	"sequoiahollow/transport/shorigin"
@@ -21,7 +23,7 @@
 // EntryOptions provides an entry VM's HTTP interfaces and its settings updates.
 type EntryOptions struct {
 	Dialect   shfront.Dialect
-	Directory func(*Directory) http.Handler
+	Directory func(*Entry) http.Handler
 	Readiness func(*Entry) http.Handler
 	Metrics   Metrics
 	// Reload returns the current settings. If Reload is nil, the settings of the
@@ -39,7 +41,6 @@
 	origin       *shorigin.Client
 	account      *accountWriter
 	crashReports chan shfront.CrashReport
-	directory    Directory
 	seeds        atomic.Pointer[[]string]
 	closing      atomic.Bool
 	refusing     atomic.Bool
@@ -57,7 +58,6 @@
 	e := &Entry{process: newProcess(s, log), origin: newOrigin(s), crashReports: make(chan shfront.CrashReport, maxQueuedReports)}
 	seeds := s.PeerSeeds()
 	e.seeds.Store(&seeds)
-	e.directory.CacheSeconds = s.CacheSeconds
 	place := shbalance.Place{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
 	e.balancer = shbalance.New(place)
 	e.balancer.HedgeShare = s.RepeatShare
@@ -67,7 +67,6 @@
 		Changed: func(v shfleet.View) {
 			e.balancer.Update(time.Now(), v)
 			e.origin.Link.SetUploads(v.Table.HasUploads())
-			e.directory.setEntries(v.Entries, v.Table.BoundHosts())
 		},
 		RevokeWithin: shsettings.Seconds(s.RevokeSeconds),
 	}
@@ -121,7 +120,7 @@
 		handler http.Handler
 	}{
 		{e.Settings.ReadinessAddress, options.Readiness(e)},
-		{e.Settings.DirectoryAddress, options.Directory(&e.directory)},
+		{e.Settings.DirectoryAddress, options.Directory(e)},
 	} {
 		if _, err := e.listen(x.address, x.handler); err != nil {
 			return err
@@ -146,6 +145,35 @@
 	}
 }
 
+// Directory returns the addresses of the entry VMs that a caller in a region and
+// failure domain should use: the ready ones of its failure domain, else of its
+// region, else all ready ones.
+func (e *Entry) Directory(region shmodel.Region, zone shmodel.FailureDomain) []string {
+	nearest := 3
+	var addresses []string
+	entries := slices.Clone(e.watcher.View().Entries)
+	slices.SortFunc(entries, func(a, b shfleet.Entry) int { return cmp.Compare(a.VM, b.VM) })
+	for _, x := range entries {
+		distance := 2
+		switch {
+		case !x.Ready:
+			continue
+		case x.Zone == zone:
+			distance = 0
+		case x.Region == region:
+			distance = 1
+		}
+		if distance > nearest {
+			continue
+		}
+		if distance < nearest {
+			nearest, addresses = distance, nil
+		}
+		addresses = append(addresses, x.Address)
+	}
+	return addresses
+}
+
 // report queues a crash report, or drops it if the queue is full. That is safe: if
 // the request is sent again and crashes a backend server, it is reported again.
 func (e *Entry) report(r shfront.CrashReport) {
--- a/transport/shsteer/share.go
+++ b/transport/shsteer/share.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shhome"
 	"sequoiahollow/transport/shleader"
 	"sequoiahollow/transport/shregistry"
@@ -19,47 +18,24 @@
 	sharePerEntry = 3 * time.Millisecond
 	// shareTimeout bounds a call. The keys of one that fails go into the next.
 	shareTimeout = 500 * time.Millisecond
-	// delayWeight is the weight of a round trip in the moving average of the delay.
-	delayWeight = 0.4
-	// shortestFor is how long the shortest round trip is remembered. The leader may be
-	// another one by then.
-	shortestFor = 30 * time.Second
 )
 
-// linkDelay measures the delay of the link of this VM: the moving average of the round
-// trips beyond the shortest one.
-type linkDelay struct {
-	mean       time.Duration
-	shortest   time.Duration // zero before the first
-	shortestAt time.Time
-}
-
-func (d *linkDelay) observe(now time.Time, trip time.Duration) {
-	if d.shortest == 0 || trip < d.shortest || now.Sub(d.shortestAt) > shortestFor {
-		d.shortest, d.shortestAt = trip, now
-	}
-	d.mean += time.Duration(delayWeight * float64(trip-d.shortest-d.mean))
-}
-
 // share tells the leader which keys this VM sees and what it has in flight, and learns
 // the homes of keys and the loads that other VMs cause.
 func (e *Entry) share(ctx context.Context) {
 	known := shregistry.ShareResponse{}
 	var keys []shhome.Home
 	failed := false
-	var delay linkDelay
 	for ctx.Err() == nil {
 		shleader.Pause(ctx, max(shareInterval, time.Duration(len(e.watcher.View().Entries))*sharePerEntry))
 		keys = append(keys, e.balancer.Sightings()...)
 		keys = keys[max(len(keys)-shhome.MaxKeys, 0):]
 		callCtx, cancel := context.WithTimeout(ctx, shareTimeout)
-		began := time.Now()
 		response, err := e.watcher.Share(callCtx, shregistry.ShareRequest{
 			VM: e.Settings.VM, Region: e.Settings.Region, Keys: keys, Epoch: known.Epoch, Since: known.Last,
-			InFlight: e.balancer.InFlight(), Delay: shfleet.Millis(delay.mean.Milliseconds()),
+			InFlight: e.balancer.InFlight(),
 		})
 		cancel()
-		delay.observe(time.Now(), time.Since(began))
 		if failed != (err != nil) {
 			failed = err != nil
 			e.Log.Info("exchange with other entry VMs", "failed", failed, "error", err)
@@ -69,7 +45,6 @@
 		}
 		e.balancer.SetHomes(response.Homes, known.Epoch != "" && known.Epoch != response.Epoch)
 		e.balancer.SetOtherLoads(time.Now(), response.Busy)
-		e.directory.updateDelays(response.Delays)
 		known, keys = response, nil
 	}
 }
