--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -61,9 +61,6 @@
 	}
 }
 
-// Place returns where the entry VM runs.
-func (b *Balancer) Place() Place { return b.place }
-
 // Update replaces the view of the fleet. What the balancer has learned of an
 // instance of a backend server is kept while that instance is in the view.
 func (b *Balancer) Update(now time.Time, v shfleet.View) {
--- a/coordination/shbalance/home_test.go
+++ b/coordination/shbalance/home_test.go
@@ -11,17 +11,6 @@
 	"sequoiahollow/coordination/shhome"
 )
 
-// shareHomes passes the sightings of balancers through one table.
-func shareHomes(t *shhome.Table, now time.Time, balancers ...*shbalance.Balancer) {
-	for _, b := range balancers {
-		t.Report(now, b.Place().Region, b.Sightings())
-	}
-	homes, _ := t.Since(0)
-	for _, b := range balancers {
-		b.SetHomes(homes, false)
-	}
-}
-
 // Load: callers move to an entry VM of another region. Guards against requests for
 // their keys that run cold there, although the backend servers that the first entry VM
 // chose are warm.
@@ -35,7 +24,9 @@
 		chosen[i] = pick(t, north, start, request(fmt.Sprint(i)))
 		north.Done(start.Add(100*time.Millisecond), chosen[i], shbalance.Answered{})
 	}
-	shareHomes(&table, start, north, south)
+	table.Report(start, "north", north.Sightings())
+	homes, _ := table.Since(0)
+	south.SetHomes(homes, false)
 	moved := start.Add(time.Second)
 	for i := range keys {
 		c := pick(t, south, moved, request(fmt.Sprint(i)))
