--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -67,7 +67,7 @@
 	if err := c.listenPeers(); err != nil {
 		return err
 	}
-	if _, err := c.listen(c.Settings.ControlAddress, options.Control(c)); err != nil {
+	if err := c.listen(c.Settings.ControlAddress, options.Control(c)); err != nil {
 		return err
 	}
 	return c.listenMetrics(options.Metrics.Address, options.Metrics.Path, func(mux *http.ServeMux) {
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -112,7 +112,7 @@
 }
 
 func (e *Entry) serve(handler *shfront.Handler, options EntryOptions) error {
-	if _, err := e.listenOverlapping(e.Settings.EntryAddress, handler, handler.MayOverlap); err != nil {
+	if err := e.listenOverlapping(e.Settings.EntryAddress, handler, handler.MayOverlap); err != nil {
 		return err
 	}
 	for _, x := range []struct {
@@ -122,7 +122,7 @@
 		{e.Settings.ReadinessAddress, options.Readiness(e)},
 		{e.Settings.DirectoryAddress, options.Directory(e)},
 	} {
-		if _, err := e.listen(x.address, x.handler); err != nil {
+		if err := e.listen(x.address, x.handler); err != nil {
 			return err
 		}
 	}
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -131,19 +131,19 @@
 }
 
 // listen serves HTTP at an address. It does nothing if the address is empty.
-func (p *process) listen(address string, handler http.Handler) (*http.Server, error) {
+func (p *process) listen(address string, handler http.Handler) error {
 	return p.listenOverlapping(address, handler, nil)
 }
 
 // listenOverlapping is listen. The requests for which mayOverlap returns true are
 // served beside others of their connection; with nil none are.
-func (p *process) listenOverlapping(address string, handler http.Handler, mayOverlap func(*http.Request) bool) (*http.Server, error) {
+func (p *process) listenOverlapping(address string, handler http.Handler, mayOverlap func(*http.Request) bool) error {
 	if address == "" {
-		return nil, nil
+		return nil
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	accepts := &shlistener.Listener{Listener: l, Budget: p.budget}
 	s := &http.Server{
@@ -161,7 +161,7 @@
 	accepts.Attach(s)
 	p.http = append(p.http, x)
 	go p.serveListener(func() error { return s.Serve(served) })
-	return s, nil
+	return nil
 }
 
 func (p *process) serveListener(serve func() error) {
@@ -182,8 +182,7 @@
 		p.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	_, err := p.listen(address, mux)
-	return err
+	return p.listen(address, mux)
 }
 
 // reportMemory logs until ctx ends what was refused for lack of memory.
--- a/transport/shsteer/stop_test.go
+++ b/transport/shsteer/stop_test.go
@@ -31,7 +31,7 @@
 	address := l.Addr().String()
 	assert.NilError(t, l.Close())
 	p := newProcess(shsettings.Fleet{}, slog.New(slog.DiscardHandler))
-	_, err = p.listen(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	err = p.listen(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(work)
 		w.Header().Set("Connection", "close")
 		io.WriteString(w, strings.Repeat("x", answerBytes))
