--- a/coordination/shhome/shhome.go
+++ b/coordination/shhome/shhome.go
@@ -81,18 +81,8 @@
 	for _, k := range keys {
 		e := t.homes[k.Key]
 		switch {
-		case e == nil && len(t.homes) >= MaxKeys:
-			t.removeExpired(now)
-			if len(t.homes) >= MaxKeys {
-				return
-			}
-			fallthrough
 		case e == nil:
-			home := k.Region
-			if home == "" {
-				home = region
-			}
-			t.set(now, k.Key, home)
+			t.add(now, region, k)
 		case e.region == region:
 			e.seen = now
 		case now.Sub(e.seen) > HomeLifetime:
@@ -101,6 +91,20 @@
 	}
 }
 
+// add gives a key that was not known a home, if there is room for it.
+func (t *Table) add(now time.Time, region shmodel.Region, k Home) {
+	if len(t.homes) >= MaxKeys {
+		t.removeExpired(now)
+	}
+	if len(t.homes) >= MaxKeys {
+		return
+	}
+	if k.Region != "" {
+		region = k.Region
+	}
+	t.set(now, k.Key, region)
+}
+
 func (t *Table) set(now time.Time, k Key, region shmodel.Region) {
 	t.next++
 	t.homes[k] = &entry{region: region, sequence: t.next, seen: now}
