Give tests addresses of their own process

Outgoing connections of all processes take their ports at that address too. TestReplacedVM and TestBackendFaults/refused_connection failed by the same cause before.

Tests that free a port and listen there again, or expect it to refuse connections, now use an address of the loopback network that belongs to their process (shloopback).

--- a/cmd/sequoiahollow/request_test.go
+++ b/cmd/sequoiahollow/request_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 )
@@ -24,13 +24,11 @@
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	address := server.Listener.Addr().String()
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, closed.Close())
+	closed := shloopback.Free(t)
 	mux.HandleFunc("GET "+shwire.PathEntries, func(w http.ResponseWriter, r *http.Request) {
 		_ = json.NewEncoder(w).Encode(shwire.Entries{
 			Service: shmodel.Service(r.FormValue("service")), Revision: 3, CacheForMS: 5000,
-			Entries: []shwire.EntryAddress{{VM: "gone", Address: closed.Addr().String()}, {VM: "here", Address: address}, {VM: "next", Address: address}},
+			Entries: []shwire.EntryAddress{{VM: "gone", Address: closed}, {VM: "here", Address: address}, {VM: "next", Address: address}},
 		})
 	})
 	mux.HandleFunc("/", serve)
--- a/transport/shcaller/caller_test.go
+++ b/transport/shcaller/caller_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 )
@@ -58,10 +58,7 @@
 // Guards against a request that is sent again although it may have run and must
 // not run twice, and against one that is not sent again although it may be.
 func TestResend(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, l.Close())
-	unreachable := l.Addr().String()
+	unreachable := shloopback.Free(t)
 	aborting := startEntry(t, 0, nil, abort)
 	for _, c := range []struct {
 		name, first, method, key string
--- a/transport/shentry/caller_test.go
+++ b/transport/shentry/caller_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shbackend"
@@ -160,14 +161,6 @@
 	})
 }
 
-// refusingAddress returns an address that refuses connections.
-func refusingAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	assert.NilError(t, l.Close())
-	return l.Addr().String()
-}
-
 // announceAddress announces a backend server at an address without starting one.
 func (v *testVM) announceAddress(t *testing.T, service shmodel.Service, name shmodel.BackendServer, address string, slots int) {
 	t.Helper()
@@ -246,7 +239,7 @@
 			d := newDeployment(t)
 			v := d.startVM(t, "vm-1", "south")
 			v.startBackends(t, service, nil, "b1")
-			v.announceAddress(t, service, "a-dead", refusingAddress(t), 2)
+			v.announceAddress(t, service, "a-dead", shloopback.Free(t), 2)
 			a := v.call(t, service, http.MethodPost, "/x", "", shwire.HeaderKey, "k")
 			assert.Equal(t, a.outcome(), "answered")
 			d.checkAccount(t, a, "opened attempted:not-run:unreachable attempted:answered closed:answered")
--- a/transport/shentry/dispatch_test.go
+++ b/transport/shentry/dispatch_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 )
@@ -101,10 +102,7 @@
 		})
 	}
 	t.Run("connection refused", func(t *testing.T) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		assert.NilError(t, l.Close())
-		_, fault := NewDispatcher().Send(context.Background(), newRequest(l.Addr().String()))
+		_, fault := NewDispatcher().Send(context.Background(), newRequest(shloopback.Free(t)))
 		assert.Equal(t, fault, FaultRefused)
 		assert.Assert(t, fault.ProvesNotRun())
 	})
--- a/transport/shoperator/serve_test.go
+++ b/transport/shoperator/serve_test.go
@@ -9,14 +9,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/transport/shoperator"
 )
 
 // TestServe guards against headers of unlimited size, and against a shutdown
 // that leaves the address in use or returns an error.
 func TestServe(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := shloopback.Listen(t)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- (&shoperator.Server{Deployment: &fakeDeployment{}, Token: token}).Serve(ctx, l) }()
--- a/transport/shorigin/client_test.go
+++ b/transport/shorigin/client_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/transport/shorigin"
 )
 
@@ -33,8 +34,7 @@
 
 func newStub(t *testing.T, replies ...string) *stub {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+	l := shloopback.Listen(t)
 	t.Cleanup(func() { l.Close() })
 	s := &stub{listener: l}
 	go func() {
--- a/transport/shpeer/shpeer_test.go
+++ b/transport/shpeer/shpeer_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/transport/shpeer"
 )
 
@@ -122,10 +123,7 @@
 		assert.NilError(t, <-blocked)
 	})
 	t.Run("nobody listens", func(t *testing.T) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		assert.NilError(t, l.Close())
-		_, err = echo(withTimeout(t, testTimeout), c, l.Addr().String(), "x")
+		_, err := echo(withTimeout(t, testTimeout), c, shloopback.Free(t), "x")
 		assertKind(t, err, shpeer.KindUnreachable)
 	})
 }
--- a/transport/shregistry/registry_test.go
+++ b/transport/shregistry/registry_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shpeer"
 	"sequoiahollow/transport/shregistry"
@@ -52,10 +53,7 @@
 	var vms []*vm
 	var seeds []string
 	for i := range 5 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		address := l.Addr().String()
-		l.Close()
+		address := shloopback.Free(t)
 		if i < 3 {
 			seeds = append(seeds, address)
 		}
@@ -193,12 +191,8 @@
 func TestReplacedVM(t *testing.T) {
 	vms := startGroup(t)
 	vms[1].stop()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address := l.Addr().String()
-	l.Close()
 	successor := &vm{config: vms[1].config}
-	successor.config.VM, successor.config.PeerAddress = "successor", address
+	successor.config.VM, successor.config.PeerAddress = "successor", shloopback.Free(t)
 	successor.config.Folder = filepath.Join(t.TempDir(), "fleet")
 	successor.config.Bootstrap = false
 	successor.start(t)
--- a/transport/shsteer/stop_test.go
+++ b/transport/shsteer/stop_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/state/shsettings"
 )
 
@@ -26,12 +27,9 @@
 		work        = 100 * time.Millisecond
 		answerBytes = 64 << 10
 	)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address := l.Addr().String()
-	assert.NilError(t, l.Close())
+	address := shloopback.Free(t)
 	p := newProcess(shsettings.Fleet{}, slog.New(slog.DiscardHandler))
-	err = p.listen(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	err := p.listen(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(work)
 		w.Header().Set("Connection", "close")
 		io.WriteString(w, strings.Repeat("x", answerBytes))
--- a/transport/shstore/store_test.go
+++ b/transport/shstore/store_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiahollow/coordination/shraft"
+	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shlog"
 	"sequoiahollow/transport/shpeer"
@@ -62,8 +63,7 @@
 	var vms []*vm
 	var voters []shstore.Peer
 	for i := range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
+		l := shloopback.Listen(t)
 		v := &vm{t: t, listener: l}
 		v.config = shstore.Config{
 			VM: shmodel.VM(fmt.Sprintf("vm%d", i+1)), Address: l.Addr().String(),
