Keep the index of closed account segments on disk

Closed segments now get an index file, written and synced in the background; then their index leaves memory, but for the intervals of their request IDs, which tell appends and pages which files to read. Segments are closed at 16 MiB in place of 64. Unreleased batches are spans of segments. Closed segments are opened only while they are read, and a segment is scanned piece by piece in place of whole. Segments keep their format, and earlier builds ignore the index files.

An index file that is missing, damaged, or that of another state of its segment is written again. While a disk is full or hangs at an index file, appends are refused or wait once two closed segments have none.

Ruled out: a scan on demand (each append must know what is held), Bloom filters (grow with age) and trusting an index file without reading its segment at the start (hides damage).

--- a/transport/shaccount/disk_test.go
+++ b/transport/shaccount/disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"io/fs"
 	"slices"
 	"sync"
 	"syscall"
@@ -22,12 +23,19 @@
 	syncs    int
 	// syncBlock, if set, blocks syncs until it is closed.
 	syncBlock chan struct{}
+	// step, if set, is called after each change with the name of the file. No other
+	// change is made meanwhile.
+	step   func(name string)
+	stepMu sync.Mutex
 }
 
 type fakeFile struct {
 	disk   *fakeDisk
+	name   string
 	data   []byte
 	synced []byte
+	// syncBlock, if set, blocks syncs of this file until it is closed.
+	syncBlock chan struct{}
 }
 
 func newFakeDisk() *fakeDisk {
@@ -46,11 +54,22 @@
 			n += keep(len(f.data) - n)
 		}
 		data := slices.Clone(f.data[:n])
-		restarted.files[name] = &fakeFile{disk: restarted, data: data, synced: slices.Clone(data)}
+		restarted.files[name] = &fakeFile{disk: restarted, name: name, data: data, synced: slices.Clone(data)}
 	}
 	return restarted
 }
 
+// changing returns the function that ends a change of a file.
+func (d *fakeDisk) changing(name string) func() {
+	d.stepMu.Lock()
+	return func() {
+		defer d.stepMu.Unlock()
+		if d.step != nil {
+			d.step(name)
+		}
+	}
+}
+
 func (d *fakeDisk) update(change func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -87,7 +106,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.files[name] == nil {
-		d.files[name] = &fakeFile{disk: d}
+		d.files[name] = &fakeFile{disk: d, name: name}
+	}
+	return d.files[name], nil
+}
+
+func (d *fakeDisk) Read(name string) (shsegment.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.files[name] == nil {
+		return nil, fs.ErrNotExist
 	}
 	return d.files[name], nil
 }
@@ -108,6 +136,7 @@
 }
 
 func (f *fakeFile) WriteAt(p []byte, at int64) (int, error) {
+	defer f.disk.changing(f.name)()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	free := max(0, f.disk.capacity-f.disk.used())
@@ -120,9 +149,13 @@
 }
 
 func (f *fakeFile) Sync() error {
+	if f.syncBlock != nil {
+		<-f.syncBlock
+	}
 	if f.disk.syncBlock != nil {
 		<-f.disk.syncBlock
 	}
+	defer f.disk.changing(f.name)()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	f.disk.syncs++
@@ -134,6 +167,7 @@
 }
 
 func (f *fakeFile) Truncate(size int64) error {
+	defer f.disk.changing(f.name)()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	f.data = f.data[:size]
--- a/transport/shaccount/faults_test.go
+++ b/transport/shaccount/faults_test.go
@@ -34,6 +34,7 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	open   func(testing.TB, *fakeDisk) *Store
 	next   shmodel.RequestID
 	// acknowledged holds the records whose Write returned nil.
 	acknowledged map[shrecord.Identity]Level
@@ -79,7 +80,7 @@
 	h.network.replaceMu.Lock()
 	defer h.network.replaceMu.Unlock()
 	h.disks[vm] = h.disks[vm].crash(func(unsynced int) int { return h.intN(unsynced + 1) })
-	h.network.setStore(vm, openFakeStore(h.t, h.disks[vm]))
+	h.network.setStore(vm, h.open(h.t, h.disks[vm]))
 }
 
 // injectDiskFault does one of three things at random: it fills a disk for a
@@ -208,7 +209,14 @@
 	n, targets, disks := newNetwork(t)
 	h := &faultRun{
 		t: t, network: n, disks: disks, random: rand.New(rand.NewPCG(seed, 4)),
-		acknowledged: make(map[shrecord.Identity]Level),
+		acknowledged: make(map[shrecord.Identity]Level), open: openFakeStore,
+	}
+	if seed%2 == 1 {
+		// With small segments, index files are written during the run.
+		h.open = openSmallSegments
+		for vm, d := range disks {
+			n.setStore(vm, h.open(t, d))
+		}
 	}
 	n.setFault(h.fault)
 	h.outbox = testOutbox(n, targets)
--- a/transport/shaccount/index.go
+++ b/transport/shaccount/index.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -34,45 +35,70 @@
 // page reads few chunks, and only those are sorted.
 const chunkIDs = 1024
 
-// index finds records by identity and lists them in the order of export. Its
-// zero value is empty. It is not safe for concurrent use.
+// index finds records by key. Its zero value is empty. It is not safe for concurrent
+// use.
 type index struct {
-	chunks map[uint64]map[key]entry
+	// segment is the number of the segment that has the records, if the store has a
+	// data folder.
+	segment uint32
+	chunks  map[uint64]map[key]entry
 	// order holds the numbers of all chunks, ascending.
 	order []uint64
-	// names and numbers map VMs to numbers and back, so that a key holds no
-	// string.
+	size  int
+}
+
+// vmTable maps VMs to numbers and back, so that a key holds no string. Its zero
+// value is empty. It is safe for concurrent use.
+type vmTable struct {
+	mu      sync.RWMutex
 	names   []shmodel.VM
 	numbers map[shmodel.VM]uint16
-	size    int
 }
 
+// vmNames are the VMs of a vmTable by number.
+type vmNames []shmodel.VM
+
 func contentHash(encoded []byte) uint64 { return xxhash.Sum64(encoded) }
 
-func (x *index) number(vm shmodel.VM) uint16 {
-	n, ok := x.numbers[vm]
+func (t *vmTable) number(vm shmodel.VM) uint16 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n, ok := t.numbers[vm]
 	if !ok {
-		if x.numbers == nil {
-			x.numbers = make(map[shmodel.VM]uint16)
+		if t.numbers == nil {
+			t.numbers = make(map[shmodel.VM]uint16)
 		}
-		n = uint16(len(x.names))
-		x.numbers[vm] = n
-		x.names = append(x.names, vm)
+		n = uint16(len(t.names))
+		t.numbers[vm] = n
+		t.names = append(t.names, vm)
 	}
 	return n
 }
 
-func (x *index) key(id shrecord.Identity, content uint64) key {
-	return key{request: id.RequestID, content: content, attempt: id.Attempt, vm: x.number(id.VM), rank: id.Kind.Rank()}
+// all returns the VMs so far.
+func (t *vmTable) all() vmNames {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.names[:len(t.names):len(t.names)]
+}
+
+func (t *vmTable) key(id shrecord.Identity, content uint64) key {
+	return key{request: id.RequestID, content: content, attempt: id.Attempt, vm: t.number(id.VM), rank: id.Kind.Rank()}
 }
 
-func (x *index) identity(k key) shrecord.Identity {
-	return shrecord.Identity{RequestID: k.request, Kind: shrecord.KindOfRank(k.rank), Attempt: k.attempt, VM: x.names[k.vm]}
+func (n vmNames) identity(k key) shrecord.Identity {
+	return shrecord.Identity{RequestID: k.request, Kind: shrecord.KindOfRank(k.rank), Attempt: k.attempt, VM: n[k.vm]}
 }
 
-func (x *index) has(k key) bool {
-	_, ok := x.chunks[uint64(k.request)/chunkIDs][k]
-	return ok
+func (n vmNames) compare(k key, c Cursor) int {
+	return cmp.Or(n.identity(k).Compare(c.Identity), cmp.Compare(k.content, c.Content))
+}
+
+// sort sorts keys in the order of export.
+func (n vmNames) sort(keys []key) {
+	slices.SortFunc(keys, func(a, b key) int {
+		return n.compare(a, Cursor{Identity: n.identity(b), Content: b.content})
+	})
 }
 
 func (x *index) get(k key) (entry, bool) {
@@ -115,35 +141,18 @@
 	}
 }
 
-func (x *index) compare(k key, c Cursor) int {
-	return cmp.Or(x.identity(k).Compare(c.Identity), cmp.Compare(k.content, c.Content))
-}
-
-// page returns up to limit keys after the cursor within the bounds of request.
-func (x *index) page(request ReadRequest, limit int) []key {
-	first := max(request.First, request.After.Identity.RequestID)
-	at, _ := slices.BinarySearch(x.order, uint64(first)/chunkIDs)
-	var page []key
-	for ; at < len(x.order) && len(page) < limit; at++ {
-		n := x.order[at]
-		if request.Last != 0 && n*chunkIDs > uint64(request.Last) {
-			break
-		}
-		page = append(page, x.sortedKeys(n, request)...)
+// next returns the number of the first chunk at or after chunk.
+func (x *index) next(chunk uint64) (uint64, bool) {
+	at, _ := slices.BinarySearch(x.order, chunk)
+	if at == len(x.order) {
+		return 0, false
 	}
-	return page[:min(len(page), limit)]
+	return x.order[at], true
 }
 
-// sortedKeys returns the keys of one chunk that request selects, in the order of
-// export.
-func (x *index) sortedKeys(chunk uint64, request ReadRequest) []key {
+// sorted returns the keys of one chunk in the order of export.
+func (x *index) sorted(names vmNames, chunk uint64) []key {
 	keys := slices.Collect(maps.Keys(x.chunks[chunk]))
-	keys = slices.DeleteFunc(keys, func(k key) bool {
-		return k.request < request.First || request.Last != 0 && k.request > request.Last ||
-			x.compare(k, request.After) <= 0
-	})
-	slices.SortFunc(keys, func(a, b key) int {
-		return x.compare(a, Cursor{Identity: x.identity(b), Content: b.content})
-	})
+	names.sort(keys)
 	return keys
 }
--- a/transport/shaccount/internal/shsegment/file.go
+++ b/transport/shaccount/internal/shsegment/file.go
@@ -6,18 +6,20 @@
 	"path/filepath"
 )
 
-// Folder is the folder that holds the segments. Tests implement it to inject
-// faults.
+// Folder is the folder that holds the segments and what is derived from them. Tests
+// implement it to inject faults.
 type Folder interface {
 	// List returns the names of all files.
 	List() ([]string, error)
 	// Open opens a file for reading and writing and creates it if missing.
 	Open(name string) (File, error)
+	// Read opens a file for reading. The error wraps fs.ErrNotExist if it is missing.
+	Read(name string) (File, error)
 	// Sync makes the creation of files durable.
 	Sync() error
 }
 
-// File is one segment.
+// File is a file of a Folder.
 type File interface {
 	io.ReaderAt
 	io.WriterAt
@@ -52,6 +54,15 @@
 	return osFile{f}, nil
 }
 
+// Read implements Folder.
+func (d OSFolder) Read(name string) (File, error) {
+	f, err := os.Open(filepath.Join(string(d), name))
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
 // Sync implements Folder.
 func (d OSFolder) Sync() error {
 	f, err := os.Open(string(d))
--- a/transport/shaccount/internal/shsegment/log.go
+++ b/transport/shaccount/internal/shsegment/log.go
@@ -10,7 +10,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -38,16 +37,33 @@
 )
 
 const (
-	// DefaultSegmentBytes is the size at which a new segment starts.
-	DefaultSegmentBytes = 64 << 20
-	segmentSuffix       = ".segment"
+	// DefaultSegmentBytes is the size at which a new segment starts. The index of
+	// the records of a segment, in memory until the segment is closed, takes about
+	// a third of it.
+	DefaultSegmentBytes = 16 << 20
+	// maxSegmentBytes keeps offsets below 4 GiB, also with a large last batch.
+	maxSegmentBytes = 1 << 30
+	segmentSuffix   = ".segment"
 )
 
-// Location is where an entry is stored.
+// Location is where an entry is stored: the number of its segment in the order of
+// the log, and the offset and the length of its payload in bytes.
 type Location struct {
-	segment uint32
-	length  uint32
-	offset  int64
+	Segment uint32
+	Length  uint32
+	Offset  int64
+}
+
+// End returns the offset after the entry.
+func (l Location) End() int64 { return l.Offset + headerBytes + int64(l.Length) }
+
+// Segment describes a segment. Bytes is its size up to the last intact entry. Digest
+// differs between segments with different intact entries.
+type Segment struct {
+	First   uint64
+	Entries uint64
+	Bytes   int64
+	Digest  uint64
 }
 
 // Damage is a part of a segment that cannot be read. The number of lost entries
@@ -73,12 +89,17 @@
 	folder       Folder
 	segmentBytes int64
 
-	mu    sync.Mutex
-	files []File
-	// size is the size of the last file, in bytes.
-	size   int64
-	last   uint64
-	synced uint64
+	mu sync.Mutex
+	// segments are all segments; the last one is open and its size and digest are
+	// those of size and digest.
+	segments []Segment
+	active   File
+	size     int64
+	digest   *digester
+	// closedBytes is the size of all segments but the last.
+	closedBytes int64
+	last        uint64
+	synced      uint64
 	// syncing is closed when the sync in progress ends; it is nil if there is
 	// none.
 	syncing chan struct{}
@@ -86,15 +107,16 @@
 	closed  bool
 }
 
-// Open opens the log in folder and visits all intact entries in order.
+// Open opens the log in folder. It reads all segments, and visits the intact entries
+// of the last one in order. A payload is valid during its visit only.
 func Open(folder Folder, segmentBytes int64, visit func(Location, []byte) error) (*Log, OpenReport, error) {
-	l := &Log{folder: folder, segmentBytes: segmentBytes}
-	if l.segmentBytes <= 0 {
-		l.segmentBytes = DefaultSegmentBytes
+	if segmentBytes <= 0 {
+		segmentBytes = DefaultSegmentBytes
 	}
+	l := &Log{folder: folder, segmentBytes: min(segmentBytes, maxSegmentBytes)}
 	report, err := l.load(visit)
 	if err != nil {
-		return nil, report, errors.Join(err, l.closeFiles())
+		return nil, report, errors.Join(err, l.closeActive())
 	}
 	return l, report, nil
 }
@@ -146,7 +168,7 @@
 	}
 	// Entries that were not synced before a crash become durable before anything
 	// is acknowledged.
-	if err := l.files[len(l.files)-1].Sync(); err != nil {
+	if err := l.active.Sync(); err != nil {
 		return report, ErrFailed.Wrap(err)
 	}
 	l.synced = l.last
@@ -154,43 +176,50 @@
 }
 
 // loadSegment reads one segment. following is the first sequence number of the
-// next segment, or 0 for the last segment.
+// next segment, or 0 for the last segment, whose entries are visited.
 func (l *Log) loadSegment(first, following uint64, visit func(Location, []byte) error, report *OpenReport) error {
 	name := segmentName(first)
-	f, err := l.folder.Open(name)
+	number := uint32(len(l.segments))
+	open, entry := l.folder.Read, func(int64, []byte) error { return nil }
+	if following == 0 {
+		open, entry = l.folder.Open, func(offset int64, payload []byte) error {
+			return visit(Location{Segment: number, Length: uint32(len(payload)), Offset: offset}, payload)
+		}
+	}
+	f, err := open(name)
 	if err != nil {
 		return err
 	}
-	index := uint32(len(l.files))
-	l.files = append(l.files, f)
+	if following == 0 {
+		l.active = f
+	} else {
+		defer f.Close()
+	}
 	size, err := f.Size()
 	if err != nil {
 		return err
 	}
-	data := make([]byte, size)
-	if _, err := f.ReadAt(data, 0); err != nil && !errors.Is(err, io.EOF) {
-		return fmt.Errorf("segment %q: %w", name, err)
-	}
-	s, err := scanSegment(data, first, func(offset int64, payload []byte) error {
-		report.Entries++
-		return visit(Location{segment: index, length: uint32(len(payload)), offset: offset}, payload)
-	})
+	s, err := scanSegment(f, size, first, entry)
 	if err != nil {
-		return err
+		return fmt.Errorf("segment %q: %w", name, err)
 	}
 	for _, d := range s.damage {
 		d.Segment = name
 		report.Damage = append(report.Damage, d)
 	}
-	l.last, l.size = s.next-1, s.end
+	report.Entries += s.entries
+	l.last = s.next - 1
+	l.segments = append(l.segments, Segment{First: first, Entries: s.entries, Bytes: s.end, Digest: s.digest.sum()})
 	tail := size - s.end
 	if following != 0 {
+		l.closedBytes += s.end
 		if tail > 0 || s.next < following {
 			lost := following - min(s.next, following)
 			report.Damage = append(report.Damage, Damage{Segment: name, Offset: s.end, Bytes: tail, FirstSequence: s.next, Entries: lost})
 		}
 		return nil
 	}
+	l.size, l.digest = s.end, s.digest
 	if tail > 0 {
 		report.TornBytes = tail
 		return f.Truncate(s.end)
@@ -207,11 +236,24 @@
 	if err := l.folder.Sync(); err != nil {
 		return errors.Join(err, f.Close())
 	}
-	l.files = append(l.files, f)
-	l.size = 0
+	if l.active != nil {
+		l.segments[len(l.segments)-1] = l.openSegment()
+		l.closedBytes += l.size
+		// The file was synced, so that an error of closing it loses nothing.
+		_ = l.active.Close()
+	}
+	l.segments = append(l.segments, Segment{First: first})
+	l.active, l.size, l.digest = f, 0, newDigester()
 	return nil
 }
 
+// openSegment describes the last segment.
+func (l *Log) openSegment() Segment {
+	s := l.segments[len(l.segments)-1]
+	s.Bytes, s.Digest = l.size, l.digest.sum()
+	return s
+}
+
 // rotate starts a new segment if the current one is large enough and no sync is
 // in progress: of two concurrent syncs of a file, only one returns the error of a
 // failed write.
@@ -219,7 +261,7 @@
 	if l.size < l.segmentBytes || l.syncing != nil {
 		return nil
 	}
-	if err := l.files[len(l.files)-1].Sync(); err != nil {
+	if err := l.active.Sync(); err != nil {
 		l.failed = ErrFailed.Wrap(err)
 		return l.failed
 	}
@@ -264,10 +306,10 @@
 		if len(p) > maxPayloadBytes {
 			return nil, ErrTooLarge.Errorf("%d bytes", len(p))
 		}
-		locations[i] = Location{segment: uint32(len(l.files) - 1), length: uint32(len(p)), offset: l.size + int64(len(buffer))}
+		locations[i] = Location{Segment: uint32(len(l.segments) - 1), Length: uint32(len(p)), Offset: l.size + int64(len(buffer))}
 		buffer = appendEntry(buffer, l.last+1+uint64(i), p)
 	}
-	f := l.files[len(l.files)-1]
+	f := l.active
 	if _, err := f.WriteAt(buffer, l.size); err != nil {
 		if truncateErr := f.Truncate(l.size); truncateErr != nil {
 			l.failed = ErrFailed.Wrap(errors.Join(err, truncateErr))
@@ -275,6 +317,10 @@
 		}
 		return nil, l.failUnlessFull(err)
 	}
+	for _, at := range locations {
+		l.digest.add(at.Offset, buffer[at.Offset-l.size:])
+	}
+	l.segments[len(l.segments)-1].Entries += uint64(len(payloads))
 	l.size += int64(len(buffer))
 	l.last += uint64(len(payloads))
 	return locations, nil
@@ -328,7 +374,7 @@
 func (l *Log) groupSync() {
 	done := make(chan struct{})
 	l.syncing = done
-	upTo, f := l.last, l.files[len(l.files)-1]
+	upTo, f := l.last, l.active
 	l.mu.Unlock()
 	err := f.Sync()
 	l.mu.Lock()
@@ -341,24 +387,30 @@
 	close(done)
 }
 
-// Read returns the payload at a location.
-func (l *Log) Read(at Location) ([]byte, error) {
+// Segments describes all segments. The last one is open.
+func (l *Log) Segments() []Segment {
 	l.mu.Lock()
-	if l.closed {
-		l.mu.Unlock()
-		return nil, ErrClosed.Errorf("read")
-	}
-	f := l.files[at.segment]
-	l.mu.Unlock()
-	data := make([]byte, headerBytes+int(at.length))
-	if _, err := f.ReadAt(data, at.offset); err != nil {
-		return nil, ErrUnreadable.Wrap(err)
-	}
-	_, payload, ok := decodeEntry(data)
-	if !ok {
-		return nil, ErrUnreadable.Errorf("checksum mismatch at offset %d", at.offset)
+	defer l.mu.Unlock()
+	segments := slices.Clone(l.segments)
+	segments[len(segments)-1] = l.openSegment()
+	return segments
+}
+
+// Segment describes a segment.
+func (l *Log) Segment(number uint32) Segment {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if int(number) == len(l.segments)-1 {
+		return l.openSegment()
 	}
-	return payload, nil
+	return l.segments[number]
+}
+
+// Bytes returns the size of all segments.
+func (l *Log) Bytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closedBytes + l.size
 }
 
 // Close syncs and closes the log.
@@ -370,15 +422,12 @@
 		return nil
 	}
 	l.closed = true
-	return errors.Join(err, l.closeFiles())
+	return errors.Join(err, l.closeActive())
 }
 
-func (l *Log) closeFiles() error {
-	var group errs.Group
-	for _, f := range l.files {
-		if f != nil {
-			group.Add(f.Close())
-		}
+func (l *Log) closeActive() error {
+	if l.active == nil {
+		return nil
 	}
-	return group.Err()
+	return l.active.Close()
 }
--- a/transport/shaccount/release.go
+++ b/transport/shaccount/release.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"maps"
 	"slices"
@@ -15,7 +16,43 @@
 // number is below oldest.
 type unreleasedBatches struct {
 	oldest  uint64
-	batches map[uint64][]key
+	batches map[uint64]batch
+}
+
+// batch tells which records a batch has: by key in a store without data folder,
+// otherwise by place.
+type batch struct {
+	keys  []key
+	spans []span
+}
+
+// span is a part of a segment, from one entry to another.
+type span struct {
+	segment    uint32
+	start, end int64
+}
+
+// newBatch returns the batch with keys, whose entries are in held.
+func (s *Store) newBatch(keys []key, held map[key]entry) batch {
+	if s.log == nil {
+		return batch{keys: keys}
+	}
+	var b batch
+	for _, k := range keys {
+		at := held[k].location
+		last := len(b.spans) - 1
+		if last >= 0 && b.spans[last].segment == at.Segment && b.spans[last].end == at.Offset {
+			b.spans[last].end = at.End()
+			continue
+		}
+		b.spans = append(b.spans, span{segment: at.Segment, start: at.Offset, end: at.End()})
+	}
+	return b
+}
+
+func (o *unreleasedBatches) has(number uint64) bool {
+	_, ok := o.batches[number]
+	return ok
 }
 
 // Release forgets the batches that no longer need a copy here. A store without
@@ -30,9 +67,9 @@
 	return nil
 }
 
-func (o *unreleasedBatches) add(batch uint64, keys []key) {
-	o.batches[batch] = keys
-	o.oldest = min(o.oldest, batch)
+func (o *unreleasedBatches) add(number uint64, b batch) {
+	o.batches[number] = b
+	o.oldest = min(o.oldest, number)
 }
 
 // advance raises o.oldest to oldest and returns the batches below it. Each append
@@ -67,13 +104,13 @@
 	}
 }
 
-func (s *Store) release(origin Origin, batch uint64) {
+func (s *Store) release(origin Origin, number uint64) {
 	o := s.unreleased[origin]
 	if o == nil {
 		return
 	}
-	keys := o.batches[batch]
-	delete(o.batches, batch)
+	keys := o.batches[number].keys
+	delete(o.batches, number)
 	if len(o.batches) == 0 {
 		delete(s.unreleased, origin)
 	}
@@ -81,7 +118,7 @@
 		return
 	}
 	for _, k := range keys {
-		s.index.remove(k)
+		s.recent[0].remove(k)
 	}
 }
 
@@ -122,27 +159,34 @@
 }
 
 // batch returns the readable records of an unreleased batch.
-func (s *Store) batch(origin Origin, batch uint64) ([]shrecord.Record, error) {
+func (s *Store) batch(origin Origin, number uint64) ([]shrecord.Record, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := s.unreleased[origin]
-	if o == nil {
-		return nil, nil
+	var b batch
+	if o := s.unreleased[origin]; o != nil {
+		b = o.batches[number]
 	}
 	var records []shrecord.Record
-	for _, k := range o.batches[batch] {
-		e, ok := s.index.get(k)
-		if !ok {
-			continue
-		}
-		r, err := s.record(e)
-		if errors.Is(err, shsegment.ErrUnreadable) {
-			continue
+	for _, k := range b.keys {
+		if e, ok := s.recentEntry(k); ok {
+			records = append(records, *e.record)
 		}
-		if err != nil {
+	}
+	s.mu.Unlock()
+	if len(b.spans) == 0 {
+		return records, nil
+	}
+	reader := s.log.Reader()
+	defer reader.Close()
+	for _, p := range b.spans {
+		_, err := reader.Scan(p.segment, p.start, p.end, func(_ shsegment.Location, payload []byte) error {
+			var r shrecord.Record
+			err := json.Unmarshal(payload, &r)
+			records = append(records, r)
+			return err
+		})
+		if err != nil && !errors.Is(err, shsegment.ErrUnreadable) {
 			return nil, storeError("adopt", err)
 		}
-		records = append(records, r)
 	}
 	return records, nil
 }
--- a/transport/shaccount/store.go
+++ b/transport/shaccount/store.go
@@ -34,6 +34,9 @@
 	// MemoryRecords bounds the records of a store without folder.
 	MemoryRecords int
 	SyncDelay     time.Duration
+	// MaxBytes bounds the files of a store with a folder; further appends are refused
+	// as Full. Zero sets no bound.
+	MaxBytes int64
 
 	// folder replaces Folder in tests.
 	folder shsegment.Folder
@@ -46,10 +49,32 @@
 	options StoreOptions
 	// log is nil without a data folder.
 	log        *shsegment.Log
+	folder     shsegment.Folder
 	openReport shsegment.OpenReport
+	vms        vmTable
+	// rebuildMu is held while an index file is written again.
+	rebuildMu sync.Mutex
+	tasks     sync.WaitGroup
 
-	mu    sync.Mutex
-	index index
+	mu sync.Mutex
+	// recent holds the indexes in memory: those of closed segments without an index
+	// file, and last the one of the open segment.
+	recent []*index
+	// sealed are the other segments. The slice is replaced, never changed.
+	sealed []*sealedSegment
+	// sealedRecords, indexBytes and intervals are sums over sealed.
+	sealedRecords int
+	indexBytes    int64
+	intervals     int
+	// indexing is set while index files are written in the background. indexErr is
+	// the error of the last attempt, after which indexTimer starts another.
+	indexing   bool
+	indexErr   error
+	indexTimer *time.Timer
+	// indexed is closed when an index file was written or could not be. It is nil
+	// unless an append waits.
+	indexed chan struct{}
+	refused uint64
 	// unreleased holds the unreleased batches of each origin.
 	unreleased map[Origin]*unreleasedBatches
 	syncTimer  *time.Timer
@@ -57,7 +82,7 @@
 }
 
 // OpenStore opens a store. It truncates a torn tail and skips damage elsewhere;
-// OpenReport lists both.
+// OpenReport lists both. It writes the index files that are missing.
 func OpenStore(options StoreOptions) (*Store, error) {
 	s := &Store{options: options, unreleased: make(map[Origin]*unreleasedBatches)}
 	if s.options.MemoryRecords <= 0 {
@@ -70,24 +95,21 @@
 	if err != nil {
 		return nil, &Error{Op: "open", Kind: Failed, Err: err}
 	}
+	s.folder, s.recent = folder, []*index{{}}
 	if folder == nil {
 		return s, nil
 	}
-	s.log, s.openReport, err = shsegment.Open(folder, options.SegmentBytes, s.load)
+	s.log, s.openReport, err = shsegment.Open(folder, options.SegmentBytes, func(at shsegment.Location, payload []byte) error {
+		return s.load(s.recent[0], at, payload)
+	})
 	if err != nil {
 		return nil, &Error{Op: "open", Kind: Failed, Err: err}
 	}
-	return s, nil
-}
-
-// load adds a stored record to the index.
-func (s *Store) load(at shsegment.Location, payload []byte) error {
-	var r shrecord.Record
-	if err := json.Unmarshal(payload, &r); err != nil {
-		return fmt.Errorf("record has a valid checksum but cannot be decoded: %w", err)
+	s.recent[0].segment = uint32(len(s.log.Segments()) - 1)
+	if err := s.openClosed(); err != nil {
+		return nil, &Error{Op: "open", Kind: Failed, Err: errors.Join(err, s.log.Close())}
 	}
-	s.index.put(s.index.key(r.Identity(), contentHash(payload)), entry{location: at})
-	return nil
+	return s, nil
 }
 
 // openFolder returns the folder of the segments, or nil for a store in memory.
@@ -120,7 +142,45 @@
 func (s *Store) Records() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.index.size
+	return s.sealedRecords + s.recentRecords()
+}
+
+// recentRecords returns the number of records whose index is in memory.
+func (s *Store) recentRecords() int {
+	n := 0
+	for _, x := range s.recent {
+		n += x.size
+	}
+	return n
+}
+
+// Usage is what a store takes. Bytes and MaxBytes are those of its files, and zero
+// without a folder. Refused counts the appends that were refused as Full since the
+// store was opened. IndexErr is the reason why an index file could not be written; it
+// is tried again.
+type Usage struct {
+	Records   int
+	Bytes     int64
+	MaxBytes  int64
+	Unindexed int
+	Refused   uint64
+	IndexErr  error
+}
+
+// Usage returns what the store takes.
+func (s *Store) Usage() Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := Usage{Records: s.sealedRecords + s.recentRecords(), Refused: s.refused, IndexErr: s.indexErr}
+	if s.log != nil {
+		u.Bytes, u.MaxBytes, u.Unindexed = s.bytes(), s.options.MaxBytes, len(s.recent)-1
+	}
+	return u
+}
+
+// bytes returns the size of the files, with that of the index files to come.
+func (s *Store) bytes() int64 {
+	return s.log.Bytes() + s.indexBytes + int64(s.recentRecords())*entryBytes
 }
 
 // Append stores all records of a batch or none. Records that are held already
@@ -130,8 +190,13 @@
 	if request.Sync && s.log == nil {
 		return AppendResponse{}, &Error{Op: "append", Kind: NoDisk}
 	}
-	duplicates, err := s.appendBatch(request)
+	duplicates, err := s.appendBatch(ctx, request)
 	if err != nil {
+		if KindOf(err) == Full {
+			s.mu.Lock()
+			s.refused++
+			s.mu.Unlock()
+		}
 		return AppendResponse{}, err
 	}
 	response := AppendResponse{Duplicates: duplicates}
@@ -190,74 +255,157 @@
 
 // appendBatch stores the new records of a batch and notes that the batch is
 // unreleased.
-func (s *Store) appendBatch(request AppendRequest) (duplicates int, err error) {
+func (s *Store) appendBatch(ctx context.Context, request AppendRequest) (duplicates int, err error) {
 	encoded, err := encodeAll(request.Records)
 	if err != nil {
 		return 0, err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return 0, &Error{Op: "append", Kind: Closed}
+	keys := make([]key, len(encoded))
+	for i, r := range request.Records {
+		if len(s.vms.all()) >= maxVMs {
+			return 0, &Error{Op: "append", Kind: Full, Err: errors.New("too many VM names")}
+		}
+		keys[i] = s.vms.key(r.Identity(), contentHash(encoded[i]))
+	}
+	held, err := s.lockWithHeld(ctx, keys)
+	if err != nil {
+		return 0, err
 	}
+	defer s.mu.Unlock()
 	s.releaseBelow(request.Origin, request.Oldest)
 	if request.Confirm {
-		if o := s.unreleased[request.Origin]; o == nil || o.batches[request.Batch] == nil {
+		if o := s.unreleased[request.Origin]; o == nil || !o.has(request.Batch) {
 			return 0, &Error{Op: "append", Kind: Stale}
 		}
 		return 0, nil
 	}
-	keys := make([]key, len(request.Records))
-	added := make(map[key]int, len(keys))
-	var payloads [][]byte
-	for i, r := range request.Records {
-		if len(s.index.names) >= maxVMs {
-			return 0, &Error{Op: "append", Kind: Full, Err: errors.New("too many VM names")}
-		}
-		keys[i] = s.index.key(r.Identity(), contentHash(encoded[i]))
-		if _, ok := added[keys[i]]; ok || s.index.has(keys[i]) {
+	var added []int
+	seen := make(map[key]bool, len(keys))
+	for i, k := range keys {
+		if _, ok := held[k]; ok || seen[k] {
 			duplicates++
 			continue
 		}
-		added[keys[i]] = i
-		payloads = append(payloads, encoded[i])
+		seen[k] = true
+		added = append(added, i)
 	}
-	if err := s.write(request.Records, keys, added, payloads); err != nil {
+	if err := s.write(request.Records, encoded, keys, added, held); err != nil {
 		return 0, err
 	}
 	if s.unreleased[request.Origin] == nil {
-		s.unreleased[request.Origin] = &unreleasedBatches{batches: make(map[uint64][]key)}
+		s.unreleased[request.Origin] = &unreleasedBatches{batches: make(map[uint64]batch)}
 	}
-	s.unreleased[request.Origin].add(request.Batch, keys)
+	s.unreleased[request.Origin].add(request.Batch, s.newBatch(keys, held))
 	return duplicates, nil
 }
 
-// write stores the records whose keys are in added, in the order of keys.
-func (s *Store) write(records []shrecord.Record, keys []key, added map[key]int, payloads [][]byte) error {
-	if len(payloads) == 0 {
+// lockWithHeld locks the store and returns those of keys that it holds. Index files
+// are read before the lock is taken. If keys are given, it waits while too many closed
+// segments have no index file.
+func (s *Store) lockWithHeld(ctx context.Context, keys []key) (map[key]entry, error) {
+	for {
+		s.mu.Lock()
+		if len(keys) > 0 {
+			if err := s.awaitIndexed(ctx); err != nil {
+				s.mu.Unlock()
+				return nil, err
+			}
+		}
+		if s.closed {
+			s.mu.Unlock()
+			return nil, &Error{Op: "append", Kind: Closed}
+		}
+		l := s.newLookup()
+		s.mu.Unlock()
+		held, err := l.find(keys)
+		if err != nil {
+			return nil, storeError("append", err)
+		}
+		s.mu.Lock()
+		if !s.closed && len(s.sealed) == len(l.sealed) {
+			for _, k := range keys {
+				if e, ok := s.recentEntry(k); ok {
+					held[k] = e
+				}
+			}
+			return held, nil
+		}
+		s.mu.Unlock()
+	}
+}
+
+// awaitIndexed waits until few enough closed segments have no index file. The lock
+// must be held; it is released meanwhile.
+func (s *Store) awaitIndexed(ctx context.Context) error {
+	for len(s.recent)-1 >= maxUnindexed && !s.closed {
+		if s.indexErr != nil {
+			return &Error{Op: "append", Kind: Full, Err: fmt.Errorf("index of closed segments not written: %w", s.indexErr)}
+		}
+		if s.indexed == nil {
+			s.indexed = make(chan struct{})
+		}
+		indexed := s.indexed
+		s.mu.Unlock()
+		select {
+		case <-indexed:
+		case <-ctx.Done():
+		}
+		s.mu.Lock()
+		if err := ctx.Err(); err != nil {
+			return storeError("append", err)
+		}
+	}
+	return nil
+}
+
+// recentEntry returns the entry of a record whose index is in memory.
+func (s *Store) recentEntry(k key) (entry, bool) {
+	for _, x := range s.recent {
+		if e, ok := x.get(k); ok {
+			return e, true
+		}
+	}
+	return entry{}, false
+}
+
+// write stores the records with the numbers in added and adds them to held.
+func (s *Store) write(records []shrecord.Record, encoded [][]byte, keys []key, added []int, held map[key]entry) error {
+	if len(added) == 0 {
 		return nil
 	}
+	open := s.recent[len(s.recent)-1]
 	if s.log == nil {
-		if s.index.size+len(payloads) > s.options.MemoryRecords {
+		if open.size+len(added) > s.options.MemoryRecords {
 			return &Error{Op: "append", Kind: Full}
 		}
-		for k, i := range added {
+		for _, i := range added {
 			r := records[i]
-			s.index.put(k, entry{record: &r})
+			held[keys[i]] = entry{record: &r}
+			open.put(keys[i], held[keys[i]])
 		}
 		return nil
 	}
+	payloads := make([][]byte, len(added))
+	size := int64(0)
+	for n, i := range added {
+		payloads[n] = encoded[i]
+		size += shsegment.Location{Length: uint32(len(encoded[i]))}.End() + entryBytes
+	}
+	if limit := s.options.MaxBytes; limit > 0 && s.bytes()+size > limit {
+		return &Error{Op: "append", Kind: Full, Err: fmt.Errorf("the account has reached its bound of %d bytes", limit)}
+	}
 	locations, err := s.log.Append(payloads)
 	if err != nil {
 		return storeError("append", err)
 	}
-	next := 0
-	for i, k := range keys {
-		if added[k] != i || s.index.has(k) {
-			continue
-		}
-		s.index.put(k, entry{location: locations[next]})
-		next++
+	if segment := locations[0].Segment; segment != open.segment {
+		open = &index{segment: segment}
+		s.recent = append(s.recent, open)
+		s.startIndexing()
+	}
+	for n, i := range added {
+		held[keys[i]] = entry{location: locations[n]}
+		open.put(keys[i], held[keys[i]])
 	}
 	return nil
 }
@@ -292,19 +440,23 @@
 		s.mu.Unlock()
 		return ReadResponse{}, &Error{Op: "read", Kind: Closed}
 	}
-	keys := s.index.page(request, limit)
-	entries := make([]entry, len(keys))
-	ids := make([]shrecord.Identity, len(keys))
-	for i, k := range keys {
-		entries[i], _ = s.index.get(k)
-		ids[i] = s.index.identity(k)
-	}
+	l := s.newLookup()
 	s.mu.Unlock()
-	response := ReadResponse{Done: len(keys) < limit}
-	for i, e := range entries {
-		r, err := s.record(e)
+	page, err := l.page(request, limit)
+	if err != nil {
+		return ReadResponse{}, storeError("read", err)
+	}
+	var reader *shsegment.Reader
+	if s.log != nil {
+		reader = s.log.Reader()
+		defer reader.Close()
+	}
+	response := ReadResponse{Done: len(page) < limit}
+	names := s.vms.all()
+	for _, p := range page {
+		r, err := readRecord(reader, p.entry)
 		if errors.Is(err, shsegment.ErrUnreadable) {
-			response.Unreadable = append(response.Unreadable, ids[i])
+			response.Unreadable = append(response.Unreadable, names.identity(p.key))
 			continue
 		}
 		if err != nil {
@@ -312,18 +464,20 @@
 		}
 		response.Records = append(response.Records, r)
 	}
-	if len(keys) > 0 {
-		last := len(keys) - 1
-		response.Next = Cursor{Identity: ids[last], Content: keys[last].content}
+	if len(page) > 0 {
+		last := page[len(page)-1].key
+		response.Next = Cursor{Identity: names.identity(last), Content: last.content}
 	}
 	return response, nil
 }
 
-func (s *Store) record(e entry) (shrecord.Record, error) {
+// readRecord returns the record of an entry. The reader is nil in a store without a
+// data folder.
+func readRecord(reader *shsegment.Reader, e entry) (shrecord.Record, error) {
 	if e.record != nil {
 		return *e.record, nil
 	}
-	payload, err := s.log.Read(e.location)
+	payload, err := reader.Read(e.location)
 	if err != nil {
 		return shrecord.Record{}, err
 	}
@@ -338,7 +492,12 @@
 	if s.syncTimer != nil {
 		s.syncTimer.Stop()
 	}
+	if s.indexTimer != nil {
+		s.indexTimer.Stop()
+	}
+	s.notifyIndexed()
 	s.mu.Unlock()
+	s.tasks.Wait()
 	if s.log == nil {
 		return nil
 	}
