Bound the disk that the account of a control VM takes

The account of a control VM is on the same disk as the replicated state. Any failed write ends the store of the replicated state, so that an account which fills the disk takes the vote of its VM away until there is room, although it is opened again twice a second.

With diskMb, which the settings now get from the platform, the account takes at most five eighths of the disk (160 of 256 MiB); accountMb sets another bound. Beyond it the store refuses batches as full, as on a full disk: entry VMs try other control VMs, keep 16 MB, and count what is lost. A log line, a counter and gauges show it.

Ruled out: removing the oldest segments (they were acknowledged as durable) and the free space of the file system (the platform's disk limit need not show there).

--- a/state/shsettings/fleet.go
+++ b/state/shsettings/fleet.go
@@ -42,6 +42,12 @@
 	// that the process may have open; zero means no limit.
 	MemoryMB int `json:"memoryMb"`
 	MaxFDs   int `json:"maxFds"`
+	// DiskMB is the size of the disk of the data folder in MiB, zero if it is not
+	// known.
+	DiskMB int `json:"diskMb"`
+	// AccountMB bounds the files of the account in MiB. Zero selects five eighths of
+	// DiskMB, or no bound if that is zero too.
+	AccountMB int `json:"accountMb"`
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, zero for no bound.
 	LinkMbps float64 `json:"linkMbps"`
 	// ShareLoad says that entry VMs tell each other, through the leader, how many
@@ -146,6 +152,7 @@
 	for name, value := range map[string]float64{
 		"retryShare": f.RetryShare, "retrySlack": f.RetrySlack, "retryWindowSeconds": f.RetryWindowSeconds,
 		"memoryMb": float64(f.MemoryMB), "maxFds": float64(f.MaxFDs),
+		"diskMb": float64(f.DiskMB), "accountMb": float64(f.AccountMB),
 		"revokeSeconds":      f.RevokeSeconds,
 		"quotaWindowSeconds": f.QuotaWindowSeconds, "quotaOver": f.QuotaOver, "quotaSlack": f.QuotaSlack,
 	} {
@@ -158,6 +165,17 @@
 	}
 }
 
+// AccountBytes returns the bound on the files of the account, zero for none. By
+// default, three eighths of the disk stay for the replicated state, which stops if
+// the disk is full: 96 of 256 MiB, for two segments of its log of 16 MiB, snapshots,
+// and a batch beyond a segment.
+func (f Fleet) AccountBytes() int64 {
+	if f.AccountMB > 0 {
+		return int64(f.AccountMB) << 20
+	}
+	return int64(f.DiskMB) << 20 / 8 * 5
+}
+
 // PeerAddress returns the address at which this process takes calls of other
 // VMs.
 func (f Fleet) PeerAddress() string { return f.peerAddress(f.IP) }
--- a/state/shsettings/fleet_test.go
+++ b/state/shsettings/fleet_test.go
@@ -44,6 +44,8 @@
 		"unknown":          {`"vm"`, `"unknown": 1, "vm"`},
 		"memoryMb":         {"280", `"280"`},
 		"maxFds":           {`"memoryMb": 280`, `"maxFds": -1`},
+		"diskMb":           {`"memoryMb": 280`, `"diskMb": -1`},
+		"accountMb":        {`"memoryMb": 280`, `"accountMb": -1`},
 		"repeatShare":      {`"memoryMb"`, `"repeatShare": 0.21, "memoryMb"`},
 	} {
 		t.Run(want, func(t *testing.T) {
@@ -54,3 +56,13 @@
 		})
 	}
 }
+
+// Guards against an account that fills the disk of the replicated state, and against
+// a bound in a deployment that states none.
+func TestAccountBytes(t *testing.T) {
+	for want, f := range map[int64]shsettings.Fleet{
+		0: {}, 160 << 20: {DiskMB: 256}, 20 << 20: {DiskMB: 256, AccountMB: 20}, 7 << 20: {AccountMB: 7},
+	} {
+		assert.Equal(t, f.AccountBytes(), want)
+	}
+}
--- a/transport/shaccount/sealed_test.go
+++ b/transport/shaccount/sealed_test.go
@@ -250,3 +250,38 @@
 		assert.Assert(t, !short.has(ids[len(ids)-1]+1) && !short.has(0))
 	}
 }
+
+// Guards against an account that takes more of the disk than its bound, and against a
+// bound that refuses what is stored already.
+func TestStoreMaxBytes(t *testing.T) {
+	disk := newFakeDisk()
+	open := func(maxBytes int64) *Store {
+		s, err := OpenStore(StoreOptions{folder: disk, SyncDelay: time.Hour, SegmentBytes: 1200, MaxBytes: maxBytes})
+		assert.NilError(t, err)
+		return s
+	}
+	const bound = 5000
+	s := open(bound)
+	taken := 0
+	for i, records := range sealedBatches() {
+		err := appendOne(t, s, uint64(i), true, records...)
+		s.tasks.Wait()
+		assert.Assert(t, disk.used() <= bound)
+		if err != nil {
+			assert.Equal(t, KindOf(err), Full)
+			continue
+		}
+		taken++
+	}
+	assert.Assert(t, taken >= 3 && taken < len(sealedBatches()))
+	assert.Assert(t, s.Usage().Refused > 0 && KindOf(s.Usage().Refusal) == Full)
+	assert.NilError(t, appendOne(t, s, 0, true, sealedBatches()[0]...))
+	assert.NilError(t, s.Close())
+	s = open(bound)
+	assert.Equal(t, KindOf(appendOne(t, s, 50, true, sealedBatches()[11]...)), Full)
+	assert.NilError(t, s.Close())
+	s = open(0)
+	writeSealed(t, s)
+	assertSame(t, s, exported(t, s))
+	assert.NilError(t, s.Close())
+}
--- a/transport/shaccount/store.go
+++ b/transport/shaccount/store.go
@@ -35,7 +35,8 @@
 	MemoryRecords int
 	SyncDelay     time.Duration
 	// MaxBytes bounds the files of a store with a folder; further appends are refused
-	// as Full. Zero sets no bound.
+	// as Full. The heads of up to three index files, some KiB each, may come on top.
+	// Zero sets no bound.
 	MaxBytes int64
 
 	// folder replaces Folder in tests.
@@ -75,6 +76,7 @@
 	// unless an append waits.
 	indexed chan struct{}
 	refused uint64
+	refusal error
 	// unreleased holds the unreleased batches of each origin.
 	unreleased map[Origin]*unreleasedBatches
 	syncTimer  *time.Timer
@@ -156,7 +158,7 @@
 
 // Usage is what a store takes. Bytes and MaxBytes are those of its files, and zero
 // without a folder. Refused counts the appends that were refused as Full since the
-// store was opened. IndexErr is the reason why an index file could not be written; it
+// store was opened, and Refusal is the error of the last one. IndexErr is the reason why an index file could not be written; it
 // is tried again.
 type Usage struct {
 	Records   int
@@ -164,6 +166,7 @@
 	MaxBytes  int64
 	Unindexed int
 	Refused   uint64
+	Refusal   error
 	IndexErr  error
 }
 
@@ -171,7 +174,7 @@
 func (s *Store) Usage() Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u := Usage{Records: s.sealedRecords + s.recentRecords(), Refused: s.refused, IndexErr: s.indexErr}
+	u := Usage{Records: s.sealedRecords + s.recentRecords(), Refused: s.refused, Refusal: s.refusal, IndexErr: s.indexErr}
 	if s.log != nil {
 		u.Bytes, u.MaxBytes, u.Unindexed = s.bytes(), s.options.MaxBytes, len(s.recent)-1
 	}
@@ -195,6 +198,7 @@
 		if KindOf(err) == Full {
 			s.mu.Lock()
 			s.refused++
+			s.refusal = err
 			s.mu.Unlock()
 		}
 		return AppendResponse{}, err
--- a/transport/shsteer/control.go
+++ b/transport/shsteer/control.go
@@ -26,6 +26,7 @@
 type Control struct {
 	*process
 	registry atomic.Pointer[shregistry.Registry]
+	account  atomic.Pointer[shaccount.Store]
 }
 
 // Registry returns the registry, which holds the replicated state, or nil while it
@@ -36,6 +37,7 @@
 func RunControl(ctx context.Context, s shsettings.Fleet, options ControlOptions, log *slog.Logger) error {
 	c := &Control{process: newProcess(s, log)}
 	c.addGauges()
+	c.addAccountGauges()
 	if err := c.serve(options); err != nil {
 		return errors.Join(err, c.close())
 	}
@@ -108,27 +110,6 @@
 	}
 }
 
-// keepAccountOpen keeps the account store open until ctx ends. A store that has
-// failed refuses records until it is opened again; meanwhile entry VMs send their
-// records to other control VMs.
-func (c *Control) keepAccountOpen(ctx context.Context) {
-	for ctx.Err() == nil {
-		store, err := shaccount.OpenStore(shaccount.StoreOptions{Folder: filepath.Join(c.Settings.DataFolder, "account")})
-		if err != nil {
-			c.Log.Error("account store not opened", "error", err)
-			shleader.Pause(ctx, reopenPause)
-			continue
-		}
-		registerAccountMethods(c.server, store)
-		for ctx.Err() == nil && store.Err() == nil {
-			shleader.Pause(ctx, reopenPause)
-		}
-		if err := errors.Join(store.Err(), store.Close()); err != nil {
-			c.Log.Error("account store failed", "error", err)
-		}
-	}
-}
-
 func (c *Control) stop() {
 	began := time.Now()
 	c.Log.Info("control VM stops")
