Take memory for the elements of a desired state before it is decoded

Cause: a body counted four times its length, but an empty rule of two bytes decodes to some 150, a list that grows holds them twice, and each mistake of a table made an error text. Validate reports the first 16 errors.

Ruled out: a larger factor for all bodies, which would refuse ordinary states.

--- a/coordination/shfleet/table.go
+++ b/coordination/shfleet/table.go
@@ -9,11 +9,26 @@
 	"sequoiahollow/state/shmodel"
 )
 
-// Validate returns all errors of a table, joined, as an *Error.
+// maxErrors bounds the errors that are reported for a table. Without it, the errors of
+// a small text that is nothing but mistakes take a multiple of its memory.
+const maxErrors = 16
+
+// Validate returns the first errors of a table, joined, as an *Error.
 func (t Table) Validate() error {
-	var errs []error
+	errs := t.errors()
+	if len(errs) == 0 {
+		return nil
+	}
+	return &Error{Op: "validate table", Kind: KindInvalid, Err: errors.Join(errs[:min(len(errs), maxErrors)]...)}
+}
+
+// errors returns the errors of a table. It stops when there are maxErrors.
+func (t Table) errors() (errs []error) {
 	services := map[shmodel.Service]bool{}
 	for _, s := range t.Services {
+		if len(errs) >= maxErrors {
+			return errs
+		}
 		if s.Name == "" {
 			errs = append(errs, errors.New("a service has no name"))
 		}
@@ -24,6 +39,9 @@
 	}
 	places := map[string]string{}
 	for _, r := range t.Routes {
+		if len(errs) >= maxErrors {
+			return errs
+		}
 		errs = append(errs, r.validate(services)...)
 		place := r.Host + r.Prefix
 		if other, ok := places[place]; ok {
@@ -32,12 +50,12 @@
 		places[place] = r.Name
 	}
 	for _, team := range t.Teams {
+		if len(errs) >= maxErrors {
+			return errs
+		}
 		errs = append(errs, team.validate()...)
 	}
-	if len(errs) == 0 {
-		return nil
-	}
-	return &Error{Op: "validate table", Kind: KindInvalid, Err: errors.Join(errs...)}
+	return errs
 }
 
 func (r Route) validate(services map[shmodel.Service]bool) []error {
--- a/transport/shsteer/memory.go
+++ b/transport/shsteer/memory.go
@@ -32,6 +32,12 @@
 // IsShort reports whether a body could not be read for lack of memory.
 func IsShort(err error) bool { return shlistener.IsShort(err) }
 
+// ReserveBody takes n bytes for what is decoded from the body of a request, until the
+// request ends. See IsShort.
+func ReserveBody(r *http.Request, n int64) error {
+	return shlistener.RequestOf(r.Context()).Reserve(time.Now(), shmemory.Bodies, n)
+}
+
 // Refuse answers that a request has not run for lack of memory.
 func Refuse(w http.ResponseWriter, r *http.Request) { shlistener.Refuse(w, r) }
 
