Bound and quote names that a process gets from others

Cause: the metrics library ends the process with a panic if the name of a metric is malformed, and labels were joined without quoting. Names had no bound but that of a message, and neither had the number of backend servers of an owner nor that of counted peer addresses.

Ruled out: to refuse services that are in no configuration; a backend server may start before the edit that adds its service.

--- a/coordination/shslot/table.go
+++ b/coordination/shslot/table.go
@@ -63,6 +63,7 @@
 package shslot
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"slices"
@@ -112,6 +113,12 @@
 	successesPerSlot = 8
 	// maxSlots bounds what an announcement may claim.
 	maxSlots = 1 << 16
+	// maxNameBytes bounds the names in an announcement. The names of services have at
+	// most 63 bytes.
+	maxNameBytes = 255
+	// maxBackends bounds the backend servers of an owner. Its CPU share is enough for
+	// 156 (CAPACITY.md).
+	maxBackends = 1024
 	// maxNonces bounds the nonces that are remembered per backend server; four
 	// cover a lease at one announcement per 500 ms.
 	maxNonces = 4
@@ -248,6 +255,9 @@
 	if t.stopping && !known {
 		return append(out, t.release(a.BackendServer))
 	}
+	if !known && len(t.backends) >= maxBackends {
+		return append(out, AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: "too many backend servers"})
+	}
 	if !known || a.Incarnation > b.Incarnation {
 		b = newBackend(now, a, known)
 		t.backends[a.BackendServer] = b
@@ -307,6 +317,9 @@
 	if a.BackendServer == "" || a.Service == "" {
 		return "backend server and service must be named"
 	}
+	if len(a.BackendServer) > maxNameBytes || len(a.Service) > maxNameBytes {
+		return fmt.Sprintf("name longer than %d bytes", maxNameBytes)
+	}
 	if a.Place.Region == "" || a.Place.FailureDomain == "" {
 		return "region and failure domain must be named"
 	}
--- a/transport/shdaemon/metrics.go
+++ b/transport/shdaemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -40,12 +41,12 @@
 // starts.
 func (d *daemon) updateMetrics(set *metrics.Set) {
 	for service, slots := range d.entry.Slots.Services() {
-		labels := `{service="` + string(service) + `"}`
+		labels := fmt.Sprintf("{service=%q}", service)
 		set.GetOrCreateGauge("sequoiahollow_slots_free"+labels, nil).Set(float64(slots.Free))
 		set.GetOrCreateGauge("sequoiahollow_slots_usable"+labels, nil).Set(float64(slots.Total))
 	}
 	for region, rate := range d.entry.Links.BitsPerSecond() {
-		set.GetOrCreateGauge(`sequoiahollow_link_grant_bits_per_second{to="`+string(region)+`"}`, nil).Set(float64(rate))
+		set.GetOrCreateGauge(fmt.Sprintf("sequoiahollow_link_grant_bits_per_second{to=%q}", region), nil).Set(float64(rate))
 	}
 	d.writeTrafficMetrics(set)
 	d.writeBurnMetrics(set)
@@ -54,10 +55,10 @@
 // countRequest counts a finished request by outcome and reason, and records its
 // duration.
 func (d *daemon) countRequest(r shrecord.Record) {
-	labels := `{service="` + string(r.Service) + `",outcome="` + string(r.Outcome) + `",reason="` + r.Reason + `"}`
+	labels := fmt.Sprintf("{service=%q,outcome=%q,reason=%q}", r.Service, r.Outcome, r.Reason)
 	d.metrics.GetOrCreateCounter("sequoiahollow_requests_total" + labels).Inc()
 	seconds := float64(r.DurationUS) / 1e6
-	d.metrics.GetOrCreateHistogram(`sequoiahollow_request_seconds{service="` + string(r.Service) + `"}`).Update(seconds)
+	d.metrics.GetOrCreateHistogram(fmt.Sprintf("sequoiahollow_request_seconds{service=%q}", r.Service)).Update(seconds)
 }
 
 func boolValue(b bool) float64 {
--- a/transport/shdaemon/traffic.go
+++ b/transport/shdaemon/traffic.go
@@ -1,6 +1,7 @@
 package shdaemon
 
 import (
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -70,14 +71,14 @@
 	now := time.Now()
 	counts := d.traffic.Snapshot()
 	for address, bytes := range counts {
-		labels := `{peer="` + address + `"}`
+		labels := fmt.Sprintf("{peer=%q}", address)
 		set.GetOrCreateGauge("sequoiahollow_peer_sent_bytes"+labels, nil).Set(float64(bytes.Sent))
 		set.GetOrCreateGauge("sequoiahollow_peer_received_bytes"+labels, nil).Set(float64(bytes.Received))
 	}
 	v := d.syncer.View()
 	rates := d.controlTraffic.update(now, counts, d.regionOf(v))
 	for region, rate := range rates {
-		set.GetOrCreateGauge(`sequoiahollow_link_control_bits_per_second{to="`+string(region)+`"}`, nil).Set(rate)
+		set.GetOrCreateGauge(fmt.Sprintf("sequoiahollow_link_control_bits_per_second{to=%q}", region), nil).Set(rate)
 	}
 	if v.Ready() {
 		d.controlTraffic.warnExceeded(now, rates, v.Config.Config.Links)
--- a/transport/shpeer/conn.go
+++ b/transport/shpeer/conn.go
@@ -14,6 +14,14 @@
 	Received uint64 `json:"received"`
 }
 
+const (
+	// maxCounters bounds the addresses with counts of their own. The design has 5,400
+	// VMs, each of which may be known by its IP address as well.
+	maxCounters = 16384
+	// otherAddresses is under which the traffic of further addresses is counted.
+	otherAddresses = "other"
+)
+
 // Traffic counts the bytes exchanged with each peer. Its zero value is ready.
 // Connections of a client count under the address that was dialled. Accepted
 // connections count under the Config.Self that the client sent with its pings, and
@@ -43,6 +51,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.counts[address]
+	if c == nil && len(t.counts) >= maxCounters {
+		address = otherAddresses
+		c = t.counts[address]
+	}
 	if c == nil {
 		if t.counts == nil {
 			t.counts = make(map[string]*counter)
--- a/transport/shpeer/server.go
+++ b/transport/shpeer/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -161,7 +162,7 @@
 
 func (h *serverHandler) ping(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
 	var p ping
-	if r.Params != nil && json.Unmarshal(*r.Params, &p) == nil && p.Address != "" {
+	if r.Params != nil && json.Unmarshal(*r.Params, &p) == nil && isAddress(p.Address) {
 		traffic := h.server.config.Traffic
 		next := traffic.counter(p.Address)
 		// The few bytes before the first ping stay counted under the IP address.
@@ -171,6 +172,12 @@
 	_ = conn.Reply(ctx, r.ID, struct{}{})
 }
 
+// isAddress reports whether text is an IP:port.
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
 // run calls the handler of a method. A panic of the handler ends only its call.
 func (h *serverHandler) run(ctx context.Context, r *jsonrpc2.Request) (result any, err error) {
 	defer func() {
