Count the lines of heads

Cause: the parsed form of a field takes some 300 bytes in maps beside its text, a head with short fields therefore more than ten times the two bytes per byte that were counted.

--- a/transport/internal/shlistener/hold.go
+++ b/transport/internal/shlistener/hold.go
@@ -21,6 +21,10 @@
 	// headFactor is the memory that a head takes for each byte of input: the byte
 	// itself and its copy in the parsed header.
 	headFactor = 2
+	// fieldBytes is the memory that each line of a head takes beside its bytes: the
+	// entries of the parsed header and of the copy that is sent on, in maps that
+	// double when they grow.
+	fieldBytes = 256
 	// writePiece is the output, in bytes, of which a client must take some within
 	// writeStall. The time bears two lost packets in a row.
 	writePiece = 64 << 10
@@ -258,14 +262,15 @@
 
 // count counts input. If there is no room for a head, it refuses the request. Behind
 // requests in progress, which must not end for that, the head waits.
-func (c *conn) count(n int) error {
+func (c *conn) count(p []byte) error {
 	now := time.Now()
-	c.hold.Progress(now, n)
+	c.hold.Progress(now, len(p))
 	if c.inBody.Load() {
 		return nil
 	}
+	room := int64(len(p))*headFactor + int64(bytes.Count(p, []byte("\n")))*fieldBytes
 	for {
-		err := c.hold.Reserve(now, shmemory.Heads, int64(n)*headFactor)
+		err := c.hold.Reserve(now, shmemory.Heads, room)
 		if err == nil || c.closed.Load() {
 			return err
 		}
--- a/transport/internal/shlistener/shlistener.go
+++ b/transport/internal/shlistener/shlistener.go
@@ -136,7 +136,7 @@
 		c.ended.Store(true)
 	}
 	if n > 0 && c.hold != nil {
-		if holdErr := c.count(n); holdErr != nil {
+		if holdErr := c.count(p[:n]); holdErr != nil {
 			return 0, holdErr
 		}
 	}
