Bound what a process holds for connections at its peer address

Cause: anyone may connect there. A connection took no part of a bound, a message took the memory that it announced, was unpacked to 16 MiB, and jsonrpc2 decoded its members to generic values. Now these connections have a budget of their own, a message takes memory step by step, and its parameters go to the handler undecoded.

Ruled out: one budget with clients, which could then refuse the calls between VMs; a limit on messages below 16 MiB, since an answer to a VM may be as large.

TestLargestMessages: raft entries of 2 MiB and 16,384 keys fit a VM of 128 MB. It needs a silence timeout above the default with the race detector, under which decoding them takes longer than that.

--- a/transport/internal/shlistener/report.go
+++ b/transport/internal/shlistener/report.go
@@ -23,20 +23,20 @@
 	}
 )
 
-// AddMetrics adds the metrics of a Budget to a set.
-func AddMetrics(set *metrics.Set, b *shmemory.Budget) {
+// AddMetrics adds the metrics of a Budget to a set. Their names have a part in common.
+func AddMetrics(set *metrics.Set, part string, b *shmemory.Budget) {
 	gauge := func(name string, value func(shmemory.Stats) float64) {
-		set.NewGauge(name, func() float64 { return value(b.Stats()) })
+		set.NewGauge("sequoiahollow_"+part+name, func() float64 { return value(b.Stats()) })
 	}
 	for _, p := range purposes {
-		gauge(fmt.Sprintf("sequoiahollow_held_bytes{purpose=%q}", p), func(s shmemory.Stats) float64 { return float64(s.Held[p]) })
+		gauge(fmt.Sprintf("_bytes{purpose=%q}", p), func(s shmemory.Stats) float64 { return float64(s.Held[p]) })
 	}
 	for _, c := range causes {
-		gauge(fmt.Sprintf("sequoiahollow_held_refusals_total{cause=%q}", c), func(s shmemory.Stats) float64 { return float64(s.Counts[c]) })
+		gauge(fmt.Sprintf("_refusals_total{cause=%q}", c), func(s shmemory.Stats) float64 { return float64(s.Counts[c]) })
 	}
-	gauge("sequoiahollow_held_limit_bytes", func(shmemory.Stats) float64 { return float64(b.Limit) })
-	gauge("sequoiahollow_held_connections", func(s shmemory.Stats) float64 { return float64(s.Connections) })
-	gauge("sequoiahollow_held_connections_limit", func(shmemory.Stats) float64 { return float64(b.MaxConnections) })
+	gauge("_limit_bytes", func(shmemory.Stats) float64 { return float64(b.Limit) })
+	gauge("_connections", func(s shmemory.Stats) float64 { return float64(s.Connections) })
+	gauge("_connections_limit", func(shmemory.Stats) float64 { return float64(b.MaxConnections) })
 }
 
 // Report logs until ctx ends what a Budget has refused, one line at a time for all.
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -63,18 +63,20 @@
 	// lastView is the view that refresh applied last.
 	lastView *shview.View
 
-	traffic  *shpeer.Traffic
-	client   *shpeer.Client
-	server   *shpeer.Server
-	replica  *shreplica.Replica
-	store    *shaccount.Store
-	outbox   *shaccount.Outbox
-	ids      *shaccount.Allocator
-	proposer *shview.Proposer
-	syncer   *shview.Syncer
-	entry    *shentry.Entry
-	burn     *burnRecorder
-	http     httpServers
+	traffic *shpeer.Traffic
+	client  *shpeer.Client
+	server  *shpeer.Server
+	// peerBudget bounds what is held for connections from other VMs.
+	peerBudget *shmemory.Budget
+	replica    *shreplica.Replica
+	store      *shaccount.Store
+	outbox     *shaccount.Outbox
+	ids        *shaccount.Allocator
+	proposer   *shview.Proposer
+	syncer     *shview.Syncer
+	entry      *shentry.Entry
+	burn       *burnRecorder
+	http       httpServers
 }
 
 // Run runs the roles of the settings until ctx ends, then stops gracefully. It
@@ -124,7 +126,8 @@
 		d.lock = lock
 	}
 	d.traffic = new(shpeer.Traffic)
-	config := shpeer.Config{Self: s.PeerAddress, Traffic: d.traffic, Logger: d.log}
+	config := shpeer.Config{Self: s.PeerAddress, Traffic: d.traffic, Logger: d.log, Budget: shmemory.NewPeerBudget(s.MemoryMB, s.MaxFDs)}
+	d.peerBudget = config.Budget
 	d.client = shpeer.NewClient(config)
 	d.server = shpeer.NewServer(config)
 	store, err := openAccountStore(s)
--- a/transport/shdaemon/memory.go
+++ b/transport/shdaemon/memory.go
@@ -25,7 +25,8 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	}
 	d.http.budget = shmemory.NewBudget(s.MemoryMB, s.MaxFDs)
-	shlistener.AddMetrics(d.metrics, d.http.budget)
+	shlistener.AddMetrics(d.metrics, "held", d.http.budget)
+	shlistener.AddMetrics(d.metrics, "peers_held", d.peerBudget)
 	go shlistener.Report(ctx, d.http.budget, d.log)
 }
 
--- a/transport/shpeer/codec.go
+++ b/transport/shpeer/codec.go
@@ -58,21 +58,15 @@
 
 // ReadObject implements jsonrpc2.ObjectCodec.
 func (b boundedCodec) ReadObject(r *bufio.Reader, v any) error {
-	var head [4]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
+	size, compressed, err := b.readLength(r)
+	if err != nil {
 		return err
 	}
-	length := binary.BigEndian.Uint32(head[:])
-	size := int64(length &^ compressedFlag)
-	if size > int64(b.limit()) {
-		return fmt.Errorf("message of %d bytes exceeds %d", size, b.limit())
-	}
 	data := make([]byte, size)
 	if _, err := io.ReadFull(r, data); err != nil {
 		return err
 	}
-	if length&compressedFlag != 0 {
-		var err error
+	if compressed {
 		if data, err = Decompress(data, b.limit()); err != nil {
 			return err
 		}
@@ -80,6 +74,20 @@
 	return json.Unmarshal(data, v)
 }
 
+// readLength reads what is before a message.
+func (b boundedCodec) readLength(r *bufio.Reader) (size int, compressed bool, err error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return 0, false, err
+	}
+	length := binary.BigEndian.Uint32(head[:])
+	size = int(length &^ compressedFlag)
+	if size > b.limit() {
+		return 0, false, fmt.Errorf("message of %d bytes exceeds %d", size, b.limit())
+	}
+	return size, length&compressedFlag != 0, nil
+}
+
 // flateWriters is a pool, because each writer takes about a megabyte.
 var flateWriters = sync.Pool{New: func() any {
 	w, err := flate.NewWriter(nil, flate.BestSpeed)
--- a/transport/shpeer/conn.go
+++ b/transport/shpeer/conn.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sequoiahollow/coordination/shmemory"
 )
 
 // Bytes counts the bytes sent and received on connections, without TCP and IP
@@ -71,6 +73,11 @@
 	net.Conn
 	timeout time.Duration
 	count   atomic.Pointer[counter]
+	// hold is what is held for an accepted connection, nil for others.
+	hold *shmemory.Hold
+	// messageEnd is the time, in nanoseconds of Unix time, by which a message must
+	// have arrived, or zero.
+	messageEnd atomic.Int64
 }
 
 func newCountedConn(c net.Conn, timeout time.Duration, count *counter) *countedConn {
@@ -81,14 +88,29 @@
 
 // Read implements io.Reader.
 func (c *countedConn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+	limit := time.Now().Add(c.timeout)
+	if end := c.messageEnd.Load(); end != 0 && end < limit.UnixNano() {
+		limit = time.Unix(0, end)
+	}
+	if err := c.SetReadDeadline(limit); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 && c.hold != nil {
+		c.hold.Progress(time.Now(), n)
+	}
 	c.count.Load().received.Add(uint64(n))
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	if c.hold != nil {
+		c.hold.Close()
+	}
+	return c.Conn.Close()
+}
+
 // Write implements io.Writer.
 func (c *countedConn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
--- a/transport/shpeer/server.go
+++ b/transport/shpeer/server.go
@@ -88,9 +88,16 @@
 	if err != nil {
 		host = c.RemoteAddr().String()
 	}
+	hold, err := s.config.Budget.Begin(time.Now(), func() { _ = c.Close() })
+	if err != nil {
+		// The peer sees the end of the connection and opens another one for its next call.
+		_ = c.Close()
+		return
+	}
 	counted := newCountedConn(c, s.config.SilenceTimeout, s.config.Traffic.counter(host))
-	stream := jsonrpc2.NewBufferedStream(counted, boundedCodec{s.config.MaxMessageBytes})
+	counted.hold = hold
 	h := &serverHandler{server: s, conn: counted}
+	stream := jsonrpc2.NewBufferedStream(counted, serverCodec{boundedCodec{s.config.MaxMessageBytes}, h})
 	jsonrpc2.NewConn(s.ctx, stream, h, jsonrpc2.SetLogger(discardLogger))
 }
 
@@ -123,21 +130,28 @@
 type serverHandler struct {
 	server *Server
 	conn   *countedConn
+	// received is the message that was read last. Only the reader of the connection,
+	// which calls Handle, uses it.
+	received received
 }
 
 // Handle implements jsonrpc2.Handler.
 func (h *serverHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	m := h.received
 	if !h.server.beginHandler() {
+		m.end()
 		return
 	}
 	if r.Method == methodPing {
 		defer h.server.active.Done()
-		h.ping(ctx, conn, r)
+		defer m.end()
+		h.ping(ctx, conn, r, m.params)
 		return
 	}
 	if r.Notif {
 		defer h.server.active.Done()
-		if _, err := h.run(ctx, r); err != nil {
+		defer m.end()
+		if _, err := h.run(ctx, r, m.params); err != nil {
 			h.server.config.Logger.Debug("handling a peer notification failed", "method", r.Method, "error", err)
 		}
 		return
@@ -146,23 +160,25 @@
 	case h.server.slots <- struct{}{}:
 	default:
 		defer h.server.active.Done()
+		defer m.end()
 		err := newError(r.Method, KindBusy, errors.New("too many calls in progress"))
 		h.answer(ctx, conn, r, nil, err)
 		return
 	}
 	go func() {
 		defer h.server.active.Done()
-		result, err := h.run(ctx, r)
-		// The slot is freed before the answer is sent, so that the next call of the
-		// same caller finds a free slot.
+		result, err := h.run(ctx, r, m.params)
+		// The slot and the memory are freed before the answer is sent, so that the next
+		// call of the same caller finds them free.
 		<-h.server.slots
+		m.end()
 		h.answer(ctx, conn, r, result, err)
 	}()
 }
 
-func (h *serverHandler) ping(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+func (h *serverHandler) ping(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request, params json.RawMessage) {
 	var p ping
-	if r.Params != nil && json.Unmarshal(*r.Params, &p) == nil && isAddress(p.Address) {
+	if json.Unmarshal(params, &p) == nil && isAddress(p.Address) {
 		traffic := h.server.config.Traffic
 		next := traffic.counter(p.Address)
 		// The few bytes before the first ping stay counted under the IP address.
@@ -179,7 +195,7 @@
 }
 
 // run calls the handler of a method. A panic of the handler ends only its call.
-func (h *serverHandler) run(ctx context.Context, r *jsonrpc2.Request) (result any, err error) {
+func (h *serverHandler) run(ctx context.Context, r *jsonrpc2.Request, params json.RawMessage) (result any, err error) {
 	defer func() {
 		if reason := recover(); reason != nil {
 			h.server.config.Logger.Error("handler of a peer call panicked", "method", r.Method, "reason", reason, "stack", string(debug.Stack()))
@@ -198,10 +214,6 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(m.TimeoutMS)*time.Millisecond)
 		defer cancel()
 	}
-	params := json.RawMessage("null")
-	if r.Params != nil {
-		params = *r.Params
-	}
 	return f(ctx, params)
 }
 
--- a/transport/shpeer/shpeer.go
+++ b/transport/shpeer/shpeer.go
@@ -10,6 +10,10 @@
 // one Client to one address are handled one at a time in the order of sending;
 // their handlers must not block.
 //
+// Anyone may connect to a Server. With a Budget, what it holds for connections and
+// their messages is bounded: a message takes memory while it arrives, is unpacked and
+// decoded, until its call has ended. A connection without room is closed.
+//
 // An Error that a handler returns reaches the caller with its kind and data.
 // Errors of other types do so if they implement WireError.
 package shpeer
@@ -22,6 +26,8 @@
 	"log"
 	"log/slog"
 	"time"
+
+	"sequoiahollow/coordination/shmemory"
 )
 
 // Defaults of Config. DefaultMaxMessageBytes is in bytes of JSON.
@@ -54,6 +60,9 @@
 	SilenceTimeout time.Duration
 	// CallTimeout applies to calls whose context has no deadline.
 	CallTimeout time.Duration
+	// Budget bounds what a Server holds for accepted connections and their messages.
+	// Nil means no bound.
+	Budget *shmemory.Budget
 	// Traffic counts the bytes sent and received. A Server and a Client may share
 	// one.
 	Traffic *Traffic
@@ -67,6 +76,9 @@
 	defaultTo(&c.PingInterval, DefaultPingInterval)
 	defaultTo(&c.SilenceTimeout, DefaultSilenceTimeout)
 	defaultTo(&c.CallTimeout, DefaultCallTimeout)
+	if c.Budget == nil {
+		c.Budget = new(shmemory.Budget)
+	}
 	if c.Traffic == nil {
 		c.Traffic = new(Traffic)
 	}
--- a/transport/shpeer/shpeer_test.go
+++ b/transport/shpeer/shpeer_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/transport/shpeer"
 )
 
@@ -288,3 +289,19 @@
 	counted := traffic.Snapshot()["10.0.0.9:7000"]
 	assert.Assert(t, counted.Received > minBytes && counted.Sent > 0, "%+v", counted)
 }
+
+// Guards against a budget in which the largest messages of VMs, on the smallest VM, have
+// no room.
+func TestLargestMessages(t *testing.T) {
+	type home struct {
+		Service string `json:"s"`
+		Key     uint64 `json:"k"`
+		Region  string `json:"h"`
+	}
+	_, c, address := startPair(t, shpeer.Config{Budget: shmemory.NewPeerBudget(128, 300), Connections: 1, SilenceTimeout: testTimeout})
+	_, err := echo(withTimeout(t, testTimeout), c, address, strings.Repeat("x", 2<<20))
+	assert.NilError(t, err)
+	keys := slices.Repeat([]home{{Service: strings.Repeat("s", 63), Key: 1 << 62, Region: strings.Repeat("r", 63)}}, 16384)
+	_, err = shpeer.Call[text](withTimeout(t, testTimeout), c, address, "echo", map[string]any{"keys": keys})
+	assert.NilError(t, err)
+}
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -107,7 +107,7 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	}
-	config := shpeer.Config{Self: s.PeerAddress(), Connections: 1, Logger: log}
+	config := shpeer.Config{Self: s.PeerAddress(), Connections: 1, Logger: log, Budget: shmemory.NewPeerBudget(s.MemoryMB, freeFDs(s))}
 	p := &process{
 		Settings: s, Log: log, metrics: metrics.NewSet(),
 		client: shpeer.NewClient(config), server: shpeer.NewServer(config),
@@ -115,7 +115,8 @@
 	}
 	if s.MemoryMB > 0 || s.MaxFDs > 0 {
 		p.budget = shmemory.NewBudget(s.MemoryMB, freeFDs(s))
-		shlistener.AddMetrics(p.metrics, p.budget)
+		shlistener.AddMetrics(p.metrics, "held", p.budget)
+		shlistener.AddMetrics(p.metrics, "peers_held", config.Budget)
 	}
 	return p
 }
