Use the digest of long keys of objects

Cause: entry VMs keep the keys of sticky routes, up to 4,096 a route, and send them to the control VMs.

--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -1,9 +1,12 @@
 package shfront
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -93,7 +96,7 @@
 		}
 	}
 	x.service = h.chooseService(x.route)
-	x.key = h.Dialect.Key(x.request.Header)
+	x.key = compactKey(h.Dialect.Key(x.request.Header))
 	x.digest = x.contentDigest()
 	h.countRequest(x.service, x.received)
 	if n := x.view.CrashCounts[x.digest]; n >= crashLimit {
@@ -106,6 +109,20 @@
 	x.sendUntilFinal()
 }
 
+// maxKeyBytes is the length of a key, in bytes, from which its digest takes its place.
+// Keys are kept after their requests, here and at control VMs.
+const maxKeyBytes = 128
+
+// compactKey returns a key of bounded length that equals another one if, and only if,
+// the keys do. It keeps none of the request in memory.
+func compactKey(key string) string {
+	if len(key) < maxKeyBytes {
+		return strings.Clone(key)
+	}
+	sum := sha256.Sum256([]byte(key))
+	return "sha256 " + hex.EncodeToString(sum[:])
+}
+
 // admit checks whether the request may be served at all. It returns false if it has
 // answered the caller.
 func (x *exchange) admit() bool {
