Bound the long answers of a control VM

Cause: each GET /config read the desired state from the leader in a call of its own, which takes a multiple of its size, and held the copy until the client had taken it, uncounted. Calls that had timed out went on at the leader, so that it answered none in time for 25 s. Exports and verifications of the account had no bound on their number.

Ruled out: a queue of calls before the read, tried first: those that waited had no time left for the read, and GET /config was refused for 25 s as before.

--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -59,7 +59,8 @@
 
 	allowances allowances
 
-	packer changePacker
+	packer    changePacker
+	documents documentReads
 }
 
 // sequence is the highest sequence number received from a process lifetime of a
@@ -291,13 +292,6 @@
 	return nil
 }
 
-// Document returns the document in force, confirmed by a quorum, as the operator
-// sent it: Source is set, but Table is empty. The version is zero before the first
-// document.
-func (r *Registry) Document(ctx context.Context) (shfleet.Document, error) {
-	return leaderCall[shfleet.Document](ctx, r, methodDocument, empty{})
-}
-
 // SetEvacuation starts or ends the evacuation of a failure domain.
 func (r *Registry) SetEvacuation(ctx context.Context, zone shmodel.FailureDomain, evacuated bool) error {
 	_, err := r.Propose(ctx, shfleet.SetEvacuation{Zone: zone, Evacuated: evacuated})
--- a/transport/shsteer/export.go
+++ b/transport/shsteer/export.go
@@ -19,6 +19,27 @@
 // exportTimeout bounds the call that reads one page of account records.
 const exportTimeout = 5 * time.Second
 
+// maxAccountReads bounds the exports and verifications of the account at a time. Each
+// takes pages of records of all control VMs.
+const maxAccountReads = 2
+
+// limitReads refuses requests beyond maxAccountReads.
+func limitReads() func(http.HandlerFunc) http.HandlerFunc {
+	reads := make(chan struct{}, maxAccountReads)
+	return func(next http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case reads <- struct{}{}:
+				defer func() { <-reads }()
+				next(w, r)
+			default:
+				w.Header().Set("Retry-After", "1")
+				http.Error(w, "the account is being read by others", http.StatusServiceUnavailable)
+			}
+		}
+	}
+}
+
 // registerAccountMethods registers the peer methods that append and read account
 // records.
 func registerAccountMethods(server *shpeer.Server, store *shaccount.Store) {
@@ -67,7 +88,8 @@
 
 // serveAccount adds the handlers that export and verify the account to a mux.
 func (c *Control) serveAccount(mux *http.ServeMux) {
-	mux.HandleFunc("GET /v1/account/export", func(w http.ResponseWriter, r *http.Request) {
+	limit := limitReads()
+	mux.HandleFunc("GET /v1/account/export", limit(func(w http.ResponseWriter, r *http.Request) {
 		lines, _, unread, err := c.accountLines(r.Context())
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -87,8 +109,8 @@
 				panic(http.ErrAbortHandler)
 			}
 		}
-	})
-	mux.HandleFunc("GET /v1/account/verify", func(w http.ResponseWriter, r *http.Request) {
+	}))
+	mux.HandleFunc("GET /v1/account/verify", limit(func(w http.ResponseWriter, r *http.Request) {
 		lines, ranges, unread, err := c.accountLines(r.Context())
 		var report shrecord.Report
 		if err == nil {
@@ -102,5 +124,5 @@
 		if err := json.NewEncoder(w).Encode(Verification{Report: report, Unread: unread}); err != nil {
 			c.Log.Info("verification not delivered", "error", err)
 		}
-	})
+	}))
 }
--- a/transport/shsteer/memory.go
+++ b/transport/shsteer/memory.go
@@ -38,6 +38,12 @@
 	return shlistener.RequestOf(r.Context()).Reserve(time.Now(), shmemory.Bodies, n)
 }
 
+// ReserveAnswer takes n bytes for the answer to a request, until the request ends. See
+// IsShort.
+func ReserveAnswer(r *http.Request, n int64) error {
+	return shlistener.RequestOf(r.Context()).Reserve(time.Now(), shmemory.Answers, n)
+}
+
 // Refuse answers that a request has not run for lack of memory.
 func Refuse(w http.ResponseWriter, r *http.Request) { shlistener.Refuse(w, r) }
 
