--- a/cmd/sequoiahollow/hostile_test.go
+++ b/cmd/sequoiahollow/hostile_test.go
@@ -71,3 +71,28 @@
 		})
 	}
 }
+
+// Guards against a process that runs out of memory because the document of an operator
+// decodes to a large value or has many mistakes.
+func TestCrowdDecode(t *testing.T) {
+	const size = 1 << 20
+	for name, body := range map[string]string{
+		"numbers":  "[" + strings.Repeat("0,", size/2-1) + "0]",
+		"objects":  "[" + strings.Repeat("{},", size/3-1) + "{}]",
+		"mistakes": `{"editId":"e","baseRevision":1,"config":{"regions":[` + strings.Repeat("0,", size/2-100) + "0]}}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startCrowdDaemon(t)
+			head := fmt.Sprintf("POST /v1/config HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+				d.token, len(body), body)
+			crowd := make([]shcrowd.Client, 6)
+			for i := range crowd {
+				crowd[i] = shcrowd.Client{Address: d.settings.OperatorAddress, Head: head}
+			}
+			shcrowd.Hold(t, crowd)
+			d.process.Check(crowdMemoryMB, crowdFDs)
+			d.serves()
+			d.process.Check(crowdMemoryMB, crowdFDs)
+		})
+	}
+}
