Take memory for the values of a document before it is parsed

Cause: the operator's interface counted six bytes for each byte of a body, but a value of one byte takes some 150 bytes when it is parsed, and each mistake has a text. Values are now counted first, and reports end after 1,000 mistakes.

Ruled out: a larger factor for all bodies; ordinary ones have some 15 bytes for each value.

--- a/state/shdocument/check.go
+++ b/state/shdocument/check.go
@@ -9,7 +9,7 @@
 )
 
 // Check compares v with the JSON form of T and reports every unknown field and
-// every wrong type. Field names are compared exactly. If nulls is set, null
+// every wrong type, up to maxMistakes. Field names are compared exactly. If nulls is set, null
 // members of objects are accepted, which mean removals in a merge patch.
 // T may hold structs, maps with string keys, slices, strings, booleans and
 // numbers.
@@ -141,7 +141,14 @@
 	c.report(path, v, fmt.Sprintf("want %s, got %s", want, v.describe()))
 }
 
+// maxMistakes bounds the mistakes that Check and Parse report. A document of nothing but
+// mistakes would otherwise have a report of many times its size.
+const maxMistakes = 1000
+
 func (c *checker) report(path string, v *Value, reason string) {
+	if len(c.problems) >= maxMistakes {
+		return
+	}
 	c.problems = append(c.problems, Problem{File: v.File, Line: v.Line, Path: path, Reason: reason})
 }
 
--- a/state/shdocument/value.go
+++ b/state/shdocument/value.go
@@ -122,6 +122,23 @@
 	return v, p.problems
 }
 
+// CountValues returns a bound on the number of values that Parse makes of data, valid or
+// not, without making them.
+func CountValues(data []byte) int64 {
+	n, text := int64(1), false
+	for i := 0; i < len(data); i++ {
+		switch c := data[i]; {
+		case text && c == '\\':
+			i++
+		case c == '"':
+			text = !text
+		case !text && (c == ',' || c == '[' || c == '{'):
+			n++
+		}
+	}
+	return n
+}
+
 func syntaxProblem(file string, data []byte, err error) Problem {
 	p := Problem{File: file, Reason: err.Error()}
 	if syntax, ok := errors.AsType[*json.SyntaxError](err); ok {
@@ -198,6 +215,9 @@
 }
 
 func (p *parser) report(path, format string, args ...any) {
+	if len(p.problems) >= maxMistakes {
+		return
+	}
 	p.problems = append(p.problems, Problem{
 		File: p.file, Line: p.line, Path: path, Reason: fmt.Sprintf(format, args...),
 	})
--- a/transport/internal/shlistener/hold.go
+++ b/transport/internal/shlistener/hold.go
@@ -211,6 +211,12 @@
 	}
 }
 
+// ReserveBody takes n bytes for what is decoded from the body of a request, until the
+// request ends. Without a Budget there is no bound.
+func ReserveBody(r *http.Request, n int64) error {
+	return RequestOf(r.Context()).Reserve(time.Now(), shmemory.Bodies, n)
+}
+
 // IsShort reports whether a body could not be read for lack of memory.
 func IsShort(err error) bool {
 	_, ok := errors.AsType[*shmemory.Error](err)
--- a/transport/shoperator/handlers.go
+++ b/transport/shoperator/handlers.go
@@ -24,9 +24,14 @@
 	mediaTypeLines = "application/x-ndjson"
 )
 
-// bodyFactor is the memory that a request takes for each byte of its body: the body, the
-// last copy of the buffer that grew to it, and what is parsed from it.
-const bodyFactor = 6
+const (
+	// bodyFactor is the memory that a request takes for each byte of its body: the body,
+	// the last copy of the buffer that grew to it, and the texts that are parsed from it.
+	bodyFactor = 6
+	// valueBytes is the memory that each value of a document takes beside its text: a
+	// shdocument.Value of 80 bytes, its place in a list or a map, and its number or text.
+	valueBytes = 192
+)
 
 // maxEditIDBytes bounds an edit ID, which the replicated state keeps.
 const maxEditIDBytes = 128
@@ -336,6 +341,9 @@
 	if err != nil {
 		return nil, newError(KindMalformed, err)
 	}
+	if err := shlistener.ReserveBody(r, valueBytes*shdocument.CountValues(data)); err != nil {
+		return nil, newError(KindUnavailable, err)
+	}
 	v, problems := shdocument.Parse("", data)
 	if len(problems) > 0 {
 		return nil, invalidError(KindMalformed, problems)
--- a/transport/shsteer/memory.go
+++ b/transport/shsteer/memory.go
@@ -34,9 +34,7 @@
 
 // ReserveBody takes n bytes for what is decoded from the body of a request, until the
 // request ends. See IsShort.
-func ReserveBody(r *http.Request, n int64) error {
-	return shlistener.RequestOf(r.Context()).Reserve(time.Now(), shmemory.Bodies, n)
-}
+func ReserveBody(r *http.Request, n int64) error { return shlistener.ReserveBody(r, n) }
 
 // ReserveAnswer takes n bytes for the answer to a request, until the request ends. See
 // IsShort.
