--- a/coordination/shslot/table.go
+++ b/coordination/shslot/table.go
@@ -233,17 +233,9 @@
 }
 
 func (t *Table) announced(now time.Time, a Announced) []Effect {
-	if reason := malformed(a); reason != "" {
-		return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: reason}}
-	}
 	b, known := t.backends[a.BackendServer]
-	if known && a.Incarnation == b.Incarnation {
-		if reason := b.contradicts(a); reason != "" {
-			return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: reason}}
-		}
-	}
-	if known && a.Incarnation < b.Incarnation {
-		return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: "older incarnation"}}
+	if reason := t.refusal(a, b); reason != "" {
+		return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: reason}}
 	}
 	var out []Effect
 	if known && a.Incarnation > b.Incarnation {
@@ -255,9 +247,6 @@
 	if t.stopping && !known {
 		return append(out, t.release(a.BackendServer))
 	}
-	if !known && len(t.backends) >= maxBackends {
-		return append(out, AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: "too many backend servers"})
-	}
 	if !known || a.Incarnation > b.Incarnation {
 		b = newBackend(now, a, known)
 		t.backends[a.BackendServer] = b
@@ -277,6 +266,25 @@
 	return append(out, AnswerAnnouncement{BackendServer: a.BackendServer, Nonce: nonce, Lease: LeaseDuration})
 }
 
+// refusal returns why an announcement is rejected, or "". b is the known backend server
+// of that name, nil if there is none.
+func (t *Table) refusal(a Announced, b *backend) string {
+	if reason := malformed(a); reason != "" {
+		return reason
+	}
+	switch {
+	case b == nil && !t.stopping && len(t.backends) >= maxBackends:
+		return "too many backend servers"
+	case b == nil:
+		return ""
+	case a.Incarnation == b.Incarnation:
+		return b.contradicts(a)
+	case a.Incarnation < b.Incarnation:
+		return "older incarnation"
+	}
+	return ""
+}
+
 // release answers an announcement during a planned stop and ends the lease.
 // Dispatch then refuses reservations that were not dispatched before.
 func (t *Table) release(name shmodel.BackendServer) Effect {
