--- a/coordination/shslot/table.go
+++ b/coordination/shslot/table.go
@@ -63,6 +63,7 @@
 package shslot
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"slices"
@@ -112,6 +113,12 @@
 	successesPerSlot = 8
 	// maxSlots bounds what an announcement may claim.
 	maxSlots = 1 << 16
+	// maxNameBytes bounds the names in an announcement. The names of services have at
+	// most 63 bytes.
+	maxNameBytes = 255
+	// maxBackends bounds the backend servers of an owner. Its CPU share is enough for
+	// 156 (CAPACITY.md).
+	maxBackends = 1024
 	// maxNonces bounds the nonces that are remembered per backend server; four
 	// cover a lease at one announcement per 500 ms.
 	maxNonces = 4
@@ -226,17 +233,9 @@
 }
 
 func (t *Table) announced(now time.Time, a Announced) []Effect {
-	if reason := malformed(a); reason != "" {
-		return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: reason}}
-	}
 	b, known := t.backends[a.BackendServer]
-	if known && a.Incarnation == b.Incarnation {
-		if reason := b.contradicts(a); reason != "" {
-			return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: reason}}
-		}
-	}
-	if known && a.Incarnation < b.Incarnation {
-		return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: "older incarnation"}}
+	if reason := t.refusal(a, b); reason != "" {
+		return []Effect{AnswerAnnouncement{BackendServer: a.BackendServer, Rejected: reason}}
 	}
 	var out []Effect
 	if known && a.Incarnation > b.Incarnation {
@@ -267,6 +266,25 @@
 	return append(out, AnswerAnnouncement{BackendServer: a.BackendServer, Nonce: nonce, Lease: LeaseDuration})
 }
 
+// refusal returns why an announcement is rejected, or "". b is the known backend server
+// of that name, nil if there is none.
+func (t *Table) refusal(a Announced, b *backend) string {
+	if reason := malformed(a); reason != "" {
+		return reason
+	}
+	switch {
+	case b == nil && !t.stopping && len(t.backends) >= maxBackends:
+		return "too many backend servers"
+	case b == nil:
+		return ""
+	case a.Incarnation == b.Incarnation:
+		return b.contradicts(a)
+	case a.Incarnation < b.Incarnation:
+		return "older incarnation"
+	}
+	return ""
+}
+
 // release answers an announcement during a planned stop and ends the lease.
 // Dispatch then refuses reservations that were not dispatched before.
 func (t *Table) release(name shmodel.BackendServer) Effect {
@@ -307,6 +325,9 @@
 	if a.BackendServer == "" || a.Service == "" {
 		return "backend server and service must be named"
 	}
+	if len(a.BackendServer) > maxNameBytes || len(a.Service) > maxNameBytes {
+		return fmt.Sprintf("name longer than %d bytes", maxNameBytes)
+	}
 	if a.Place.Region == "" || a.Place.FailureDomain == "" {
 		return "region and failure domain must be named"
 	}
