--- a/cmd/sequoiahollow/request_test.go
+++ b/cmd/sequoiahollow/request_test.go
@@ -11,9 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shloopback"
 )
 
 // entryVM starts a stand-in for an entry VM and returns its address. It answers
--- a/transport/shcaller/caller_test.go
+++ b/transport/shcaller/caller_test.go
@@ -12,9 +12,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shloopback"
 )
 
 // entry is a stand-in entry VM that counts lookups and requests. It answers
--- a/transport/shentry/caller_test.go
+++ b/transport/shentry/caller_test.go
@@ -13,10 +13,10 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiahollow/coordination/shcontrol"
-	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shbackend"
+	"sequoiahollow/transport/shloopback"
 	"sequoiahollow/transport/shview"
 )
 
--- a/transport/shentry/dispatch_test.go
+++ b/transport/shentry/dispatch_test.go
@@ -14,9 +14,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shloopback"
 )
 
 const testID = shmodel.RequestID(7)
--- a/transport/shoperator/serve_test.go
+++ b/transport/shoperator/serve_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"sequoiahollow/internal/shloopback"
+	"sequoiahollow/transport/shloopback"
 	"sequoiahollow/transport/shoperator"
 )
 
--- a/transport/shorigin/client_test.go
+++ b/transport/shorigin/client_test.go
@@ -14,7 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"sequoiahollow/internal/shloopback"
+	"sequoiahollow/transport/shloopback"
 	"sequoiahollow/transport/shorigin"
 )
 
--- a/transport/shregistry/registry_test.go
+++ b/transport/shregistry/registry_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/poll"
 
 	"sequoiahollow/coordination/shfleet"
-	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shloopback"
 	"sequoiahollow/transport/shpeer"
 	"sequoiahollow/transport/shregistry"
 	"sequoiahollow/transport/shwatch"
--- a/transport/shsteer/stop_test.go
+++ b/transport/shsteer/stop_test.go
@@ -16,8 +16,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/state/shsettings"
+	"sequoiahollow/transport/shloopback"
 )
 
 // Guards against a planned stop that cuts off the answer of a caller who has sent
--- a/transport/shstore/store_test.go
+++ b/transport/shstore/store_test.go
@@ -16,9 +16,9 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiahollow/coordination/shraft"
-	"sequoiahollow/internal/shloopback"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shlog"
+	"sequoiahollow/transport/shloopback"
 	"sequoiahollow/transport/shpeer"
 	"sequoiahollow/transport/shstore"
 )
