Read the structure of JSON texts in one place

Three loops counted what a text takes when it is decoded, each with its own handling of strings and escapes. Behaviour is the same; the crowds of decoded documents and of peers pass.

--- a/state/shdocument/value.go
+++ b/state/shdocument/value.go
@@ -125,14 +125,9 @@
 // CountValues returns a bound on the number of values that Parse makes of data, valid or
 // not, without making them.
 func CountValues(data []byte) int64 {
-	n, text := int64(1), false
-	for i := 0; i < len(data); i++ {
-		switch c := data[i]; {
-		case text && c == '\\':
-			i++
-		case c == '"':
-			text = !text
-		case !text && (c == ',' || c == '[' || c == '{'):
+	n := int64(1)
+	for c := range Structure(data) {
+		if c == ',' || c == '[' || c == '{' {
 			n++
 		}
 	}
--- a/transport/shpeer/receive.go
+++ b/transport/shpeer/receive.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sequoiahollow/coordination/shmemory"
+	"sequoiahollow/state/shdocument"
 )
 
 const (
@@ -157,14 +158,8 @@
 // their text when they are decoded.
 func decodedBytes(data []byte) (n int64) {
 	var lists []bool // whether what encloses the current byte is a list
-	text := false
-	for i := 0; i < len(data); i++ {
-		switch c := data[i]; {
-		case text && c == '\\':
-			i++
-		case c == '"':
-			text = !text
-		case text:
+	for c := range shdocument.Structure(data) {
+		switch {
 		case c == '{', c == '[':
 			if len(lists) > 0 && lists[len(lists)-1] {
 				n += nestedBytes
