--- a/review/testdata/trial/crash_count.go
+++ b/review/testdata/trial/crash_count.go
@@ -128,7 +128,7 @@
 	if err := pause(ctx, 10*time.Second); err != nil {
 		return verdict{}, err
 	}
-	for range 8 {
+	for range 10 {
 		losing.Store(trouble)
 		if err := pause(ctx, lostFor); err != nil {
 			return verdict{}, err
