Tell a reset from the end of an answer without a length

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: an answer without a length ends with its connection. Linux reports a reset once, to the write or to the read that comes next; later reads find the end of the connection. A long body is written while its answer is read, so the write often got the error, and the reader took the end for that of the answer. This acts wherever a request is written while its answer is read: shorigin, and net/http below shentry (backend servers and forwards), shcaller and the command request.

Ruled out: answers with a length or in chunks (their end is missed), resets without a write in progress (the reader gets the error; the case "no body" passed before).

Fix: shanswer.Conn, below all these clients. At the end of the connection it ends the writing, waits for a write in progress and returns the error that a write got, so that the result does not depend on which side got it. It is not left to the clients: net/http does not show the error of the write.

--- a/cmd/sequoiahollow/request.go
+++ b/cmd/sequoiahollow/request.go
@@ -16,6 +16,7 @@
 
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shanswer"
 )
 
 const (
@@ -169,9 +170,9 @@
 // callerHTTP uses a new connection for each request, so that net/http never
 // sends a request again by itself.
 var callerHTTP = &http.Client{
-	Transport: &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: 3 * time.Second}).DialContext,
-		DisableKeepAlives: true,
+	Transport: &shanswer.Transport{
+		Dialer:    net.Dialer{Timeout: 3 * time.Second},
+		Transport: http.Transport{DisableKeepAlives: true},
 	},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
--- a/cmd/sequoiahollow/request_test.go
+++ b/cmd/sequoiahollow/request_test.go
@@ -4,10 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -128,3 +132,25 @@
 	code, _, _ = execute(t, "lookup", "--entry", "127.0.0.1:1", "--service", "s")
 	assert.Equal(t, code, exitFailure)
 }
+
+// TestRequestReset guards against a part of an answer that passes for the whole because
+// the connection was reset while the body of the request was still being written. Whether
+// the write or the read gets the error varies, so rounds repeat it.
+func TestRequestReset(t *testing.T) {
+	const rounds = 40
+	file := filepath.Join(t.TempDir(), "body")
+	assert.NilError(t, os.WriteFile(file, make([]byte, 8<<20), 0o600))
+	address := entryVM(t, func(w http.ResponseWriter, _ *http.Request) {
+		c, buffer, err := http.NewResponseController(w).Hijack()
+		assert.Check(t, err)
+		fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\n%s: answered\r\n\r\na part", shwire.HeaderOutcome)
+		assert.Check(t, buffer.Flush())
+		time.Sleep(2 * time.Millisecond)
+		assert.Check(t, c.(*net.TCPConn).SetLinger(0))
+		c.Close()
+	})
+	for range rounds {
+		code, _, stderr := execute(t, "request", "--entry", address, "--service", "s", "--method", "POST", "--body", "@"+file)
+		assert.Equal(t, code, exitUnknown, stderr)
+	}
+}
--- a/transport/shcaller/caller.go
+++ b/transport/shcaller/caller.go
@@ -24,6 +24,7 @@
 
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shanswer"
 )
 
 const (
@@ -115,12 +116,11 @@
 		// A redirect is the answer of a backend server. Following it would send
 		// another request with the same key.
 		c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-		c.http.Transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: 64,
-			DisableCompression:  true,
-		}
+		t := &shanswer.Transport{Dialer: net.Dialer{Timeout: dialTimeout}}
+		t.IdleConnTimeout = idleTimeout
+		t.MaxIdleConnsPerHost = 64
+		t.DisableCompression = true
+		c.http.Transport = t
 	})
 }
 
--- a/transport/shcaller/caller_test.go
+++ b/transport/shcaller/caller_test.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -162,3 +164,29 @@
 	assert.Equal(t, e.Kind, KindLookup)
 	assert.Error(t, err, "lookup: lookup: no entry VM to ask")
 }
+
+// resetMidway answers with a part of a body without a length and resets the connection
+// while the request is still being written.
+func resetMidway(w http.ResponseWriter, _ *http.Request) {
+	c, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\n" + shwire.HeaderOutcome + ": answered\r\n\r\na part")
+	_ = buffer.Flush()
+	time.Sleep(2 * time.Millisecond)
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// Guards against a part of an answer that is taken for the whole. Whether the write or the
+// read gets the error of the connection varies, so rounds repeat it.
+func TestResetDuringUpload(t *testing.T) {
+	const rounds = 60
+	e := startEntry(t, 60000, nil, resetMidway)
+	c := &Client{Seeds: []string{e.address}}
+	for range rounds {
+		_, err := c.Do(t.Context(), Request{Service: "s", Method: http.MethodPost, URI: "/", Body: make([]byte, 8<<20)})
+		assert.Assert(t, err != nil, "a part was taken for the whole answer")
+	}
+}
--- a/transport/shentry/dispatch.go
+++ b/transport/shentry/dispatch.go
@@ -12,6 +12,7 @@
 
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shanswer"
 )
 
 const (
@@ -75,15 +76,15 @@
 // Dispatcher sends requests and classifies the answers and failures. It never
 // sends a request twice.
 type Dispatcher struct {
-	pooled   http.Transport
-	unpooled http.Transport
+	pooled   shanswer.Transport
+	unpooled shanswer.Transport
 }
 
 // NewDispatcher returns a Dispatcher with its own connection pool.
 func NewDispatcher() *Dispatcher {
 	d := &Dispatcher{}
-	for _, t := range []*http.Transport{&d.pooled, &d.unpooled} {
-		t.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	for _, t := range []*shanswer.Transport{&d.pooled, &d.unpooled} {
+		t.Dialer.Timeout = dialTimeout
 		t.IdleConnTimeout = idleTimeout
 		t.MaxResponseHeaderBytes = maxHeader
 		t.MaxIdleConnsPerHost = maxIdlePerHost
--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"sequoiahollow/state/shmodel"
+	"sequoiahollow/transport/shanswer"
 )
 
 // Client sends requests to backend servers and reuses connections. The zero value
@@ -165,7 +166,7 @@
 		})
 		return errors.Join(err, optionErr)
 	}}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	nc, err := shanswer.Dial(ctx, &d, "tcp", address)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: KindNotSent, Err: err}
 	}
