Refuse answers that HTTP/1.1 does not allow

Callers saw: an answer in whose head the name of a field held a blank came as an answer, without that line, or, where it was "Content-Length : 2" or "Transfer-Encoding : chunked", with a body that was not the backend server's.

Cause: all clients leave the head to net/http. It takes a blank in a field name, lines that continue the one before or have no CR, any text behind the status, HTTP/0.9 and HTTP/2.0, an encoding beside a length, and ignores an encoding in HTTP/1.0 and framing fields with 204 and interim answers.

Evidence: shmalformed lists answers for each thing that RFC 9112 rules out in a status line, a field line, the framing, chunks and trailers.

Handled already, tests kept: control characters in names and values, unreadable or different lengths, other encodings, broken chunks, bodies that end early, and each status outside the final ones (000 to 199, 600 to 999).

Fix: shanswer.Conn checks each head line by line while it arrives, before its reader has the whole of it, so that it holds for net/http's transport too. An answer that fails is garbled or broken for its client: the request may have run, so a once-only one ends with 502 and an idempotent one goes to another backend server. Equal repeated lengths, obsolete text in values and a length of 0 with 204 are still taken (TestUnusualAnswers).

--- a/cmd/sequoiahollow/request_test.go
+++ b/cmd/sequoiahollow/request_test.go
@@ -18,6 +18,7 @@
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shloopback"
+	"sequoiahollow/transport/shmalformed"
 )
 
 // entryVM starts a stand-in for an entry VM and returns its address. It answers
@@ -154,3 +155,15 @@
 		assert.Equal(t, code, exitUnknown, stderr)
 	}
 }
+
+// TestRequestMalformed guards against bytes that HTTP does not allow and that pass for an
+// answer.
+func TestRequestMalformed(t *testing.T) {
+	for name, text := range shmalformed.All(shwire.HeaderOutcome + ": answered\r\n") {
+		t.Run(name, func(t *testing.T) {
+			address := entryVM(t, func(w http.ResponseWriter, _ *http.Request) { shmalformed.Write(t, w, text) })
+			code, _, stderr := execute(t, "request", "--entry", address, "--service", "s")
+			assert.Equal(t, code, exitUnknown, stderr)
+		})
+	}
+}
--- a/transport/shanswer/shanswer.go
+++ b/transport/shanswer/shanswer.go
@@ -6,30 +6,58 @@
 //
 // A Conn is a connection on which answers arrive. It tells the end of the connection from
 // its reset: an answer without a length ends with its connection, and is whole only if no
-// error occurred on it.
+// error occurred on it. It also checks the head of each answer before its reader has the
+// whole of it: the status line, the names and values of fields, and whether fields
+// contradict each other on where the answer ends. Statuses are checked by
+// shmodel.IsFinalStatus.
 //
 // # API
 //
-// Transport is an http.Transport on such connections. Other clients open a Conn with Dial.
+// Transport is an http.Transport on such connections. Other clients open a Conn with Dial,
+// call Conn.Expect before they read each answer, and CheckTrailer for its body.
 package shanswer
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// Conn is a connection to a server whose answers are read. Its methods may be called by
-// one reader and one writer at the same time.
+// Kind classifies an Error.
+type Kind string
+
+// KindMalformed says that what arrived is no answer in HTTP/1.1.
+const KindMalformed Kind = "malformed"
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Conn is a connection to a server whose answers are read. A new one expects the head of an
+// answer. Its methods may be called by one reader and one writer at the same time.
 type Conn struct {
 	net.Conn
 
+	mu   sync.Mutex // guards head
+	head headCheck
+
 	writing sync.Mutex
 	// failure is the first error of the connection that a Write got. Guarded by writing.
 	failure error
@@ -44,10 +72,26 @@
 	return &Conn{Conn: c}, nil
 }
 
+// Expect says that the head of an answer comes next. It begins with buffered, which is what
+// the reader has read ahead. An error, of type *Error, says that buffered is no such head.
+func (c *Conn) Expect(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headCheck{}
+	return c.head.add(buffered)
+}
+
 // Read implements net.Conn. It returns io.EOF only if the peer has ended its side of the
-// connection; an error of the connection that a Write got is returned in its place.
+// connection; an error of the connection that a Write got is returned in its place. After a
+// malformed head it returns an error of type *Error.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	headErr := c.head.add(p[:n])
+	c.mu.Unlock()
+	if headErr != nil {
+		return 0, headErr
+	}
 	if errors.Is(err, io.EOF) {
 		if failure := c.endWriting(); failure != nil {
 			err = failure
@@ -113,10 +157,22 @@
 	once sync.Once
 }
 
+// expectAnswer is called before a request is written to a connection.
+var expectAnswer = &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*Conn); ok {
+		_ = c.Expect(nil)
+	}
+}}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	t.once.Do(func() { t.DialContext = t.dial })
-	return t.Transport.RoundTrip(r)
+	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), expectAnswer)))
+	if err != nil {
+		return nil, err
+	}
+	CheckTrailer(response)
+	return response, nil
 }
 
 func (t *Transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/transport/shcaller/caller_test.go
+++ b/transport/shcaller/caller_test.go
@@ -17,6 +17,7 @@
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shloopback"
+	"sequoiahollow/transport/shmalformed"
 )
 
 // entry is a stand-in entry VM that counts lookups and requests. It answers
@@ -190,3 +191,16 @@
 		assert.Assert(t, err != nil, "a part was taken for the whole answer")
 	}
 }
+
+// Guards against bytes that HTTP does not allow and that pass for an answer.
+func TestMalformedAnswers(t *testing.T) {
+	for name, text := range shmalformed.All(shwire.HeaderOutcome + ": answered\r\n") {
+		t.Run(name, func(t *testing.T) {
+			e := startEntry(t, 60000, nil, func(w http.ResponseWriter, _ *http.Request) { shmalformed.Write(t, w, text) })
+			c := &Client{Seeds: []string{e.address}}
+			a, err := c.Do(t.Context(), Request{Service: "s", Method: http.MethodPost, URI: "/"})
+			assert.Assert(t, err != nil, "body %q, header %v", a.Body, a.Header)
+			assert.Equal(t, e.requests.Load(), int32(1))
+		})
+	}
+}
--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -42,7 +42,9 @@
 // in progress.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	// answers is below Conn and checks the heads of answers.
+	answers *shanswer.Conn
+	reader  *bufio.Reader
 	// input is below reader and bounds what an answer may bring.
 	input  *boundedInput
 	held   *atomic.Int64 // of the Client
@@ -171,7 +173,7 @@
 		return nil, &Error{Op: "dial", Kind: KindNotSent, Err: err}
 	}
 	input := &boundedInput{source: nc}
-	return &conn{Conn: nc, input: input, reader: bufio.NewReaderSize(input, readBuffer)}, nil
+	return &conn{Conn: nc, answers: nc, input: input, reader: bufio.NewReaderSize(input, readBuffer)}, nil
 }
 
 // boundedInput reads from a connection until a bound is reached, so that a backend
@@ -328,8 +330,7 @@
 func (x *conn) readAnswer(r Request) (Response, bool, error) {
 	inSync := true
 	for range maxAnswersRead {
-		x.input.left = maxHead
-		answer, err := http.ReadResponse(x.reader, &http.Request{Method: r.Method})
+		answer, err := x.readHead(r)
 		if err != nil {
 			return Response{}, false, transferError("read head", err)
 		}
@@ -366,6 +367,21 @@
 	return Response{}, false, &Error{Op: "read head", Kind: KindGarbled, Err: errors.New("answers to other requests only")}
 }
 
+// readHead reads the head of an answer.
+func (x *conn) readHead(r Request) (*http.Response, error) {
+	x.input.left = maxHead
+	// Peek returns all that it is asked for: it is buffered.
+	buffered, _ := x.reader.Peek(x.reader.Buffered())
+	if err := x.answers.Expect(buffered); err != nil {
+		return nil, err
+	}
+	answer, err := http.ReadResponse(x.reader, &http.Request{Method: r.Method})
+	if err == nil {
+		shanswer.CheckTrailer(answer)
+	}
+	return answer, err
+}
+
 // isInterim reports whether a status precedes an answer.
 func isInterim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
