Bound the memory that answers of backend servers take

Callers saw (on a system like ours): a faulty backend server sent bytes without end; the VM that had called it kept them, ran out of memory, and the requests of its other callers ended with it.

Cause: shmemory reserved the bodies that shorigin holds, nothing else of an answer. Heads had no bound on fields, and net/http keeps 3 MB for 64 KiB of fields without values. The first 64 KiB of each body in shentry were not reserved, nor was anything for the answer to a cancellation.

Evidence: shcrowd.Floods lists 19 such answers, without end or with silence behind them. TestFloodingBackend sends 1,000 requests at a time (platform) and 600 (serve) to such a backend server through a VM of 128 MiB.

Handled already, tests kept: endless status lines, field lines, interim answers, bodies, chunks with their sizes and extensions, trailers.

Fix: shanswer, which all clients read through, bounds a head to 64 KiB and 500 fields and reserves the memory of a long one before it keeps a line; shentry reserves the buffers of bodies. Without room the attempt ends as no-memory, which counts neither for nor against the backend server, and other requests go on.

Failed tests now show the logs of their processes.

--- a/cmd/sequoiahollow/memory_test.go
+++ b/cmd/sequoiahollow/memory_test.go
@@ -41,12 +41,19 @@
 	t        *testing.T
 	settings shsettings.Settings
 	token    string
+	fds      int
 	process  *shcrowd.Process
 }
 
 func startCrowdDaemon(t *testing.T) *crowdDaemon {
 	t.Helper()
-	d := &crowdDaemon{t: t, token: strings.Repeat("t", 32)}
+	return startCrowdDaemonWith(t, crowdFDs)
+}
+
+// startCrowdDaemonWith is startCrowdDaemon with another number of descriptors.
+func startCrowdDaemonWith(t *testing.T, fds int) *crowdDaemon {
+	t.Helper()
+	d := &crowdDaemon{t: t, token: strings.Repeat("t", 32), fds: fds}
 	roles := []shsettings.Role{shsettings.Entry, shsettings.Control, shsettings.Account}
 	first, second := d.vm("south-a-1", "south-a", roles...), d.vm("south-b-1", "south-b", shsettings.Entry, shsettings.Account)
 	for _, s := range []*shsettings.Settings{&first, &second} {
@@ -85,7 +92,7 @@
 	return shsettings.Settings{
 		VM: name, Region: "tasmania-south", FailureDomain: domain, Roles: roles, DataFolder: filepath.Join(folder, "data"),
 		CallerAddress: address(), ServerAddress: address(), PeerAddress: address(), OperatorAddress: address(),
-		OperatorTokenFile: tokenFile, MemoryMB: crowdMemoryMB, MaxFDs: crowdFDs,
+		OperatorTokenFile: tokenFile, MemoryMB: crowdMemoryMB, MaxFDs: d.fds,
 	}
 }
 
--- a/internal/shcrowd/shcrowd.go
+++ b/internal/shcrowd/shcrowd.go
@@ -86,6 +86,10 @@
 	}()
 	go p.sample()
 	t.Cleanup(func() {
+		if t.Failed() {
+			data, _ := os.ReadFile(p.log)
+			t.Logf("log of %v:\n%s", args, data[max(0, len(data)-logTail):])
+		}
 		_ = p.command.Process.Kill()
 		select {
 		case <-p.ended:
--- a/transport/shanswer/head.go
+++ b/transport/shanswer/head.go
@@ -9,6 +9,20 @@
 	"strings"
 )
 
+const (
+	// maxHeadBytes bounds the head of an answer, as callers' heads are bounded.
+	maxHeadBytes = 64 << 10
+	// maxFields bounds the fields of a head. Many short fields take far more memory than
+	// their text: 64 KiB of them took 3 MB.
+	maxFields = 500
+	// headFactor is the memory that a head takes for each byte: the byte itself and the
+	// copies of a line that grows. fieldBytes is what each line takes beside, and freeHead
+	// the part of a head that is not reserved: nearly all heads fit it.
+	headFactor = 4
+	fieldBytes = 256
+	freeHead   = 16 << 10
+)
+
 // headCheck checks the heads of answers line by line while they arrive. The zero value
 // waits for a head. It is stricter than net/http, which folds lines, takes a blank at the
 // end of a field name, and ignores fields that contradict the framing in use.
@@ -17,9 +31,15 @@
 	passed bool
 	err    error
 	line   []byte // begin of a line that has not arrived whole
+	size   int    // bytes of the present head
+	// reserve takes memory, nil without a bound. reserved is what it took for the
+	// present head.
+	reserve  func(n int64) error
+	reserved int64
 
 	// What the lines of the present head have said.
 	begun     bool
+	fields    int
 	version   byte // minor version, a digit
 	status    int
 	hasLength bool
@@ -30,13 +50,20 @@
 // add checks the next bytes.
 func (h *headCheck) add(p []byte) error {
 	for len(p) > 0 && !h.passed && h.err == nil {
-		end := bytes.IndexByte(p, '\n')
-		if end < 0 {
-			h.line = append(h.line, p...)
+		end := bytes.IndexByte(p, '\n') + 1
+		whole := end > 0
+		if !whole {
+			end = len(p)
+		}
+		line := p[:end]
+		p = p[end:]
+		if h.err = h.hold(len(line)); h.err != nil {
+			break
+		}
+		if !whole {
+			h.line = append(h.line, line...)
 			break
 		}
-		line := p[:end+1]
-		p = p[end+1:]
 		if len(h.line) > 0 {
 			h.line = append(h.line, line...)
 			line = h.line
@@ -47,6 +74,19 @@
 	return h.err
 }
 
+// hold reserves the memory of n more bytes of the present head.
+func (h *headCheck) hold(n int) error {
+	if h.size += n; h.size > maxHeadBytes {
+		return newError(fmt.Sprintf("head of more than %d bytes", maxHeadBytes))
+	}
+	more := int64(h.size)*headFactor + int64(h.fields)*fieldBytes - freeHead - h.reserved
+	if h.reserve == nil || more <= 0 {
+		return nil
+	}
+	h.reserved += more
+	return h.reserve(more)
+}
+
 func (h *headCheck) addLine(line []byte) error {
 	text, ok := bytes.CutSuffix(line, []byte("\r\n"))
 	switch {
@@ -62,7 +102,7 @@
 		return err
 	}
 	// The head of another answer follows that of an interim one.
-	*h = headCheck{passed: !isInterim(h.status)}
+	*h = headCheck{passed: !isInterim(h.status), reserve: h.reserve}
 	return nil
 }
 
@@ -99,6 +139,9 @@
 // addField checks a field line (RFC 9112, section 5). A line that continues the one before
 // could hide a field from another reader.
 func (h *headCheck) addField(line []byte) error {
+	if h.fields++; h.fields > maxFields {
+		return newError(fmt.Sprintf("head of more than %d fields", maxFields))
+	}
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !isToken(name) || !isText(value) {
 		return malformed("field line", line)
--- a/transport/shanswer/shanswer.go
+++ b/transport/shanswer/shanswer.go
@@ -73,17 +73,20 @@
 }
 
 // Expect says that the head of an answer comes next. It begins with buffered, which is what
-// the reader has read ahead. An error, of type *Error, says that buffered is no such head.
-func (c *Conn) Expect(buffered []byte) error {
+// the reader has read ahead. Unless nil, reserve is called with the bytes of memory that a
+// long head takes, before they are allocated; if it fails, so does the read. An error of
+// type *Error says that buffered is no head.
+func (c *Conn) Expect(buffered []byte, reserve func(n int64) error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = headCheck{}
+	c.head = headCheck{reserve: reserve}
 	return c.head.add(buffered)
 }
 
 // Read implements net.Conn. It returns io.EOF only if the peer has ended its side of the
 // connection; an error of the connection that a Write got is returned in its place. After a
-// malformed head it returns an error of type *Error.
+// malformed head it returns an error of type *Error, and without memory for one that of
+// Expect's reserve.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
@@ -157,17 +160,25 @@
 	once sync.Once
 }
 
-// expectAnswer is called before a request is written to a connection.
-var expectAnswer = &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-	if c, ok := info.Conn.(*Conn); ok {
-		_ = c.Expect(nil)
-	}
-}}
+type reserveKey struct{}
+
+// WithReserve returns a context for requests of a Transport that reserves the memory of
+// long heads, as in Conn.Expect. reserve may still be called after RoundTrip has returned.
+func WithReserve(ctx context.Context, reserve func(n int64) error) context.Context {
+	return context.WithValue(ctx, reserveKey{}, reserve)
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	t.once.Do(func() { t.DialContext = t.dial })
-	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), expectAnswer)))
+	reserve, _ := r.Context().Value(reserveKey{}).(func(n int64) error)
+	// GotConn is called before the request is written.
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*Conn); ok {
+			_ = c.Expect(nil, reserve)
+		}
+	}}
+	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
--- a/transport/shentry/caller.go
+++ b/transport/shentry/caller.go
@@ -82,7 +82,7 @@
 	e.countRequest(v.Config.Config.Limits)
 	c := &receiverDriver{
 		entry: e, request: q, writer: w, ctx: r.Context(), start: start, mailbox: newMailbox(),
-		payload:       payload{method: r.Method, uri: r.URL.RequestURI(), header: endToEndHeaders(r.Header), body: body},
+		payload:       payload{method: r.Method, uri: r.URL.RequestURI(), header: endToEndHeaders(r.Header), body: body, memory: shlistener.RequestOf(r.Context())},
 		postToAttempt: map[uint32]func(shrequest.Event){}, streams: map[uint32]*pendingStream{},
 	}
 	c.machine = shrequest.NewReceiver(shrequest.ReceiverOptions{
--- a/transport/shentry/dispatch.go
+++ b/transport/shentry/dispatch.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/protocol/shwire"
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shanswer"
@@ -39,6 +40,8 @@
 	FaultBroken   Fault = "connection broken"
 	FaultMismatch Fault = "answer to another request"
 	FaultStatus   Fault = "no status of an answer"
+	// FaultMemory says that there was no memory for the answer.
+	FaultMemory Fault = "no memory for the answer"
 )
 
 // ProvesNotRun reports whether the fault proves that the attempt was not run.
@@ -57,6 +60,10 @@
 	// NewConnection asks for a new connection. Once-only work always uses one,
 	// since a pooled connection may have failed unnoticed.
 	NewConnection bool
+	// Memory bounds the memory of the answer; nil means no bound. With Short set a long
+	// answer is a FaultBroken.
+	Memory *shmemory.Request
+	Short  bool
 }
 
 // IncomingAnswer is the answer to an OutgoingRequest. Body holds the whole body
@@ -103,7 +110,13 @@
 // Send makes one attempt. The context bounds the whole exchange up to the end
 // of a buffered body.
 func (d *Dispatcher) Send(ctx context.Context, o OutgoingRequest) (IncomingAnswer, Fault) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancelRequest := context.WithCancel(ctx)
+	memory := &answerMemory{request: o.Memory, closed: o.Short}
+	cancel := func() {
+		cancelRequest()
+		memory.release()
+	}
+	ctx = shanswer.WithReserve(ctx, memory.reserveHead)
 	request, err := http.NewRequestWithContext(ctx, o.Method, "http://"+o.Address+o.URI, bodyReader{bytes.NewReader(o.Body)})
 	if err != nil {
 		cancel()
@@ -126,9 +139,12 @@
 		if !o.NewConnection {
 			d.pooled.CloseIdleConnections()
 		}
+		if memory.isShort() {
+			return IncomingAnswer{}, FaultMemory
+		}
 		return IncomingAnswer{}, sendFault(err)
 	}
-	in, fault := receive(response, o.RequestID, cancel)
+	in, fault := receive(response, o.RequestID, memory, cancel)
 	if fault == FaultStatus && !o.NewConnection {
 		// The transport may have put the connection back into its pool already.
 		d.pooled.CloseIdleConnections()
@@ -147,7 +163,9 @@
 	return FaultBroken
 }
 
-func receive(response *http.Response, id shmodel.RequestID, cancel context.CancelFunc) (IncomingAnswer, Fault) {
+// receive reads an answer. It calls cancel, which also releases memory, unless the answer
+// has a Rest, whose Close calls it.
+func receive(response *http.Response, id shmodel.RequestID, memory *answerMemory, cancel func()) (IncomingAnswer, Fault) {
 	in := IncomingAnswer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
 	if !shmodel.IsFinalStatus(response.StatusCode) {
 		cancel()
@@ -159,10 +177,13 @@
 		_ = response.Body.Close()
 		return in, FaultMismatch
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, bufferLimit+1))
+	body, err := memory.readStart(response.Body)
 	if err != nil {
 		cancel()
 		_ = response.Body.Close()
+		if memory.isShort() {
+			return in, FaultMemory
+		}
 		return in, FaultBroken
 	}
 	in.Body = body
@@ -182,7 +203,7 @@
 // cancelingBody cancels the context of the request when the body is closed.
 type cancelingBody struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	cancel func()
 }
 
 func (r *cancelingBody) Close() error {
@@ -200,7 +221,7 @@
 	header.Set(shwire.HeaderIncarnation, strconv.FormatUint(incarnation, 10))
 	in, fault := d.Send(ctx, OutgoingRequest{
 		Address: address, Method: http.MethodDelete, URI: uri, Header: header,
-		RequestID: id, FirstByteTimeout: cancelTimeout, NewConnection: true,
+		RequestID: id, FirstByteTimeout: cancelTimeout, NewConnection: true, Short: true,
 	})
 	if fault != "" {
 		return "", errors.New(string(fault))
--- a/transport/shentry/executor.go
+++ b/transport/shentry/executor.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/coordination/shmemory"
 	"sequoiahollow/coordination/shrequest"
 	"sequoiahollow/coordination/shslot"
 	"sequoiahollow/protocol/shwire"
@@ -31,6 +32,8 @@
 	uri    string
 	header http.Header
 	body   []byte
+	// memory bounds the memory of the answers; nil means no bound.
+	memory *shmemory.Request
 }
 
 // executorDriver runs one shrequest.Executor and carries out its effects.
@@ -197,7 +200,7 @@
 	defer cancel()
 	in, fault := x.entry.backends.Send(ctx, OutgoingRequest{
 		Address: d.Reservation.Address, Method: x.payload.method, URI: x.payload.uri, Header: header, Body: x.payload.body,
-		RequestID: x.request.ID, FirstByteTimeout: x.firstByteTimeout(), NewConnection: d.NewConnection,
+		RequestID: x.request.ID, FirstByteTimeout: x.firstByteTimeout(), NewConnection: d.NewConnection, Memory: x.payload.memory,
 	})
 	if fault != "" {
 		return resultOf(fault)
@@ -253,7 +256,7 @@
 		return shrequest.Shed{}
 	case FaultTimeout:
 		return shrequest.FirstByteTimeout{}
-	case FaultMismatch, FaultStatus:
+	case FaultMismatch, FaultStatus, FaultMemory:
 		return shrequest.IDMismatch{}
 	}
 	return shrequest.ConnectionBroken{}
--- a/transport/shentry/forward.go
+++ b/transport/shentry/forward.go
@@ -104,7 +104,7 @@
 	in, fault := e.peers.Send(ctx, OutgoingRequest{
 		Address: f.Address, Method: http.MethodPost, URI: shwire.PathForward, Header: header, Body: c.payload.body,
 		RequestID: c.request.ID, FirstByteTimeout: time.Until(c.request.Deadline) + forwardGrace,
-		NewConnection: c.request.Operation == shmodel.OnceOnly,
+		NewConnection: c.request.Operation == shmodel.OnceOnly, Memory: c.payload.memory,
 	})
 	if fault != "" {
 		return resultOf(fault)
@@ -166,7 +166,8 @@
 	}
 	header := endToEndHeaders(r.Header)
 	header.Del(headerForward)
-	h.serve(r.Context(), payload{method: f.Request.Method, uri: f.URI, header: header, body: body})
+	memory := shlistener.RequestOf(r.Context())
+	h.serve(r.Context(), payload{method: f.Request.Method, uri: f.URI, header: header, body: body, memory: memory})
 }
 
 // maxForwardBody is the largest body that the configuration permits.
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -234,7 +234,7 @@
 		EchoHeader: h.Dialect.RequestID, TimeoutHeader: h.Dialect.Timeout,
 		MaySend:  x.maySend(c),
 		Deadline: x.deadline, Once: x.route.Kind == shmodel.OnceOnly, StreamFrom: x.streamFrom(),
-		Hold: h.answerHold(x.request),
+		Hold: holdOf(h.HoldAnswer, x.request), HeadHold: holdOf(h.HoldHead, x.request),
 	}
 }
 
--- a/transport/shfront/handler.go
+++ b/transport/shfront/handler.go
@@ -55,6 +55,8 @@
 	// Its owner releases what is still reserved when the request has ended. With nil
 	// the bound of Origin holds.
 	HoldAnswer func(*http.Request) shorigin.AnswerHold
+	// HoldHead is HoldAnswer for the heads of answers.
+	HoldHead func(*http.Request) shorigin.AnswerHold
 	// Stall is how long a caller may be silent in a body. Zero means five seconds.
 	Stall time.Duration
 	// Place is where the VM runs; it goes into the account records.
@@ -79,11 +81,12 @@
 	x.serve()
 }
 
-func (h *Handler) answerHold(r *http.Request) shorigin.AnswerHold {
-	if h.HoldAnswer == nil {
+// holdOf returns the hold of a request, nil without a bound.
+func holdOf(hold func(*http.Request) shorigin.AnswerHold, r *http.Request) shorigin.AnswerHold {
+	if hold == nil {
 		return nil
 	}
-	return h.HoldAnswer(r)
+	return hold(r)
 }
 
 // MayOverlap reports whether a request without a body may be served beside others of
--- a/transport/shorigin/client.go
+++ b/transport/shorigin/client.go
@@ -329,8 +329,12 @@
 // connection may be reused.
 func (x *conn) readAnswer(r Request) (Response, bool, error) {
 	inSync := true
+	room := r.headRoom(x.held)
+	defer room.end()
 	for range maxAnswersRead {
-		answer, err := x.readHead(r)
+		// The head before was that of another answer.
+		room.release()
+		answer, err := x.readHead(r, room)
 		if err != nil {
 			return Response{}, false, transferError("read head", err)
 		}
@@ -350,7 +354,7 @@
 		}
 		if isStreamed(r, answer) {
 			x.idleLimit = idleTimeout(answer.Header)
-			x.input.left = answer.ContentLength + maxHead
+			x.input.left = answer.ContentLength + maxFraming
 			keep := inSync && !answer.Close && x.idleLimit > 0
 			return Response{
 				Status: answer.StatusCode, Header: answer.Header, Stream: answer.Body, Length: answer.ContentLength,
@@ -367,12 +371,12 @@
 	return Response{}, false, &Error{Op: "read head", Kind: KindGarbled, Err: errors.New("answers to other requests only")}
 }
 
-// readHead reads the head of an answer.
-func (x *conn) readHead(r Request) (*http.Response, error) {
-	x.input.left = maxHead
+// readHead reads the head of an answer into room.
+func (x *conn) readHead(r Request, room *headRoom) (*http.Response, error) {
+	x.input.left = maxFraming
 	// Peek returns all that it is asked for: it is buffered.
 	buffered, _ := x.reader.Peek(x.reader.Buffered())
-	if err := x.answers.Expect(buffered); err != nil {
+	if err := x.answers.Expect(buffered, room.reserve); err != nil {
 		return nil, err
 	}
 	answer, err := http.ReadResponse(x.reader, &http.Request{Method: r.Method})
@@ -402,9 +406,9 @@
 		step = min(step, n)
 	}
 	if err := memory.Reserve(step); err != nil {
-		return nil, r.noMemory(0, err)
+		return nil, noMemory("a body", 0, r.Hold, err)
 	}
-	x.input.left = bodyStep + maxHead
+	x.input.left = bodyStep + maxFraming
 	first, err := io.ReadAll(io.LimitReader(answer.Body, bodyStep))
 	if err != nil || len(first) < bodyStep {
 		memory.Release(step - min(step, int64(len(first))))
@@ -416,10 +420,10 @@
 			return nil, fmt.Errorf("a body of %d bytes or more", maxBody)
 		}
 		if err := memory.Reserve(2 * bodyStep); err != nil {
-			return nil, r.noMemory(read, err)
+			return nil, noMemory("a body", int64(read), r.Hold, err)
 		}
 		step := make([]byte, bodyStep)
-		x.input.left = bodyStep + maxHead
+		x.input.left = bodyStep + maxFraming
 		n, err := readUpTo(answer.Body, step)
 		steps = append(steps, step[:n])
 		switch {
--- a/transport/shorigin/hold.go
+++ b/transport/shorigin/hold.go
@@ -46,6 +46,42 @@
 
 func (h *sharedHold) release() { h.held.Add(-h.reserved) }
 
+// headRoom is the memory that the heads of the answers to one request take.
+type headRoom struct {
+	own    AnswerHold  // of the request, may be nil
+	shared *sharedHold // in place of a nil own
+	taken  int64
+}
+
+func (r Request) headRoom(held *atomic.Int64) *headRoom {
+	return &headRoom{own: r.HeadHold, shared: &sharedHold{held: held, first: true}}
+}
+
+func (h *headRoom) hold() AnswerHold {
+	if h.own != nil {
+		return h.own
+	}
+	return h.shared
+}
+
+func (h *headRoom) reserve(n int64) error {
+	if err := h.hold().Reserve(n); err != nil {
+		return noMemory("a head", h.taken, h.own, err)
+	}
+	h.taken += n
+	return nil
+}
+
+// release returns the memory of a head that is not needed.
+func (h *headRoom) release() {
+	h.hold().Release(h.taken)
+	h.taken = 0
+}
+
+// end says that no further head is read. What HeadHold holds stays reserved until the
+// request has ended.
+func (h *headRoom) end() { h.shared.release() }
+
 // dial opens a connection within MaxConnections.
 func (c *Client) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	if c.open.Add(1) > int64(c.MaxConnections) && c.MaxConnections > 0 && !c.closeIdle() {
@@ -118,11 +154,11 @@
 // Unwrap returns the cause.
 func (e noMemoryError) Unwrap() error { return e.error }
 
-// noMemory returns the error for an answer of read bytes or more that does not fit. With
-// the bound that answers share, it counts against the backend server.
-func (r Request) noMemory(read int, err error) error {
-	err = fmt.Errorf("no memory for a body of %d bytes or more: %w", read, err)
-	if r.Hold == nil {
+// noMemory returns the error for a part of an answer, of size bytes or more, that does not
+// fit. With the bound that answers share, it counts against the backend server.
+func noMemory(part string, size int64, own AnswerHold, err error) error {
+	err = fmt.Errorf("no memory for %s of %d bytes or more: %w", part, size, err)
+	if own == nil {
 		return err
 	}
 	return noMemoryError{err}
--- a/transport/shorigin/hold_test.go
+++ b/transport/shorigin/hold_test.go
@@ -69,3 +69,30 @@
 	_, err = c.Do(context.Background(), second.address(), request("4", 5*time.Second))
 	assert.NilError(t, err)
 }
+
+// Guards against a long head beyond the memory for it, and against one that takes memory
+// while the next answer is read.
+func TestHeadHold(t *testing.T) {
+	const size = 40 << 10
+	field := "A: " + strings.Repeat("x", size) + "\r\n"
+	other := "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n" + field + "\r\n"
+	own := "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 0\r\n" + field + "\r\n"
+	for _, c := range []struct {
+		name, answers string
+		bound         int64
+		kind          shorigin.Kind
+	}{
+		{"room", own, 256 << 10, ""},
+		{"no room", own, size, shorigin.KindNoMemory},
+		{"room, behind another answer", other + own, 256 << 10, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStub(t, c.answers)
+			r, hold := request("1", 5*time.Second), &bounded{bound: c.bound}
+			r.HeadHold = hold
+			_, err := (&shorigin.Client{}).Do(context.Background(), s.address(), r)
+			assert.Equal(t, shorigin.KindOf(err), c.kind, "%v", err)
+			assert.Assert(t, hold.taken <= c.bound)
+		})
+	}
+}
--- a/transport/shorigin/shorigin.go
+++ b/transport/shorigin/shorigin.go
@@ -61,8 +61,9 @@
 	// maxIdleTotal those to all.
 	maxIdlePerServer = 8
 	maxIdleTotal     = 1024
-	// maxHead bounds the head of an answer and the framing of its body, in bytes.
-	maxHead = 256 << 10
+	// maxFraming bounds the framing of the body of an answer, in bytes, and what is read
+	// to reach the end of its head, which shanswer bounds further.
+	maxFraming = 256 << 10
 	// maxBody bounds the body of an answer that is not passed on as a stream, in
 	// bytes. Answers in the deployments are below 540 KB.
 	maxBody = 16 << 20
@@ -153,9 +154,10 @@
 	// connection is opened and again right before the request is written. Nil means
 	// always.
 	MaySend func() bool
-	// Hold bounds the memory of answers that are held; with nil, all that are read at a
-	// time share a bound.
-	Hold AnswerHold
+	// Hold bounds the memory of the bodies of answers that are held, and HeadHold that of
+	// long heads; with nil, all that are read at a time share a bound.
+	Hold     AnswerHold
+	HeadHold AnswerHold
 	// Once says that the request must not run twice.
 	Once bool
 	// StreamFrom is the length, in bytes, from which the body of a successful
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -83,7 +83,7 @@
 		KeysUntil: e.keysUntil(),
 	}
 	if e.budget != nil {
-		handler.Hold, handler.HoldAnswer = holdBody, holdAnswer
+		handler.Hold, handler.HoldAnswer, handler.HoldHead = holdBody, holdAnswer, holdHead
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/transport/shsteer/memory.go
+++ b/transport/shsteer/memory.go
@@ -82,3 +82,8 @@
 func holdAnswer(r *http.Request) shorigin.AnswerHold {
 	return purposeHold{shlistener.RequestOf(r.Context()), shmemory.Answers}
 }
+
+// holdHead leaves room to answers: heads may not take all of the bound.
+func holdHead(r *http.Request) shorigin.AnswerHold {
+	return purposeHold{shlistener.RequestOf(r.Context()), shmemory.Heads}
+}
