Count a backend server that closes during an upload as broken

Callers saw: nothing directly. A backend server that closed its connection without an answer while a long body was being written counted as slow (KindTimeout) in place of broken: it stayed in use longer, and a body that breaks backend servers wasn't counted.

Evidence: TestBodyNotRead/closes failed twice in one run with other packages beside it ("timeout != broken"): there the end arrives before the reset.

Fix: a write that ends in this way returns EPIPE, as a later one would. shentry never had the fault, since net/http reports the error of the read; TestSendEndDuringUpload is kept.

The callers of the tests of shfront get a client of their own: httptest.Server.Close closes idle connections of the default one, which failed two parallel cases of TestMalformedAnswers once ("CloseIdleConnections called").

--- a/transport/shanswer/shanswer.go
+++ b/transport/shanswer/shanswer.go
@@ -27,6 +27,7 @@
 	"net/http/httptrace"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -58,6 +59,8 @@
 	mu   sync.Mutex // guards head
 	head headCheck
 
+	// ended says that the peer has ended its side.
+	ended   atomic.Bool
 	writing sync.Mutex
 	// failure is the first error of the connection that a Write got. Guarded by writing.
 	failure error
@@ -103,11 +106,18 @@
 	return n, err
 }
 
+// errEnded is the error of a Write that is in progress when a Read finds that the peer has
+// ended its side, as a later one would get it.
+var errEnded = fmt.Errorf("the peer has ended the connection: %w", syscall.EPIPE)
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
+	if c.ended.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errEnded
+	}
 	if c.failure == nil && breaksAnswer(err) {
 		c.failure = err
 	}
@@ -134,6 +144,7 @@
 // comes next. All later reads find the end of the connection, as if the peer had closed it.
 // A write that is in progress may have got the error already, so it is waited for.
 func (c *Conn) endWriting() error {
+	c.ended.Store(true)
 	// An error says that the connection is closed, which ends the write as well.
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.writing.Lock()
--- a/transport/shentry/reset_test.go
+++ b/transport/shentry/reset_test.go
@@ -39,6 +39,30 @@
 	return l.Addr().String()
 }
 
+// Guards against a backend server that ends its side while the body of a request is still
+// being written, and counts as slow.
+func TestSendEndDuringUpload(t *testing.T) {
+	l := shloopback.Listen(t)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 4096))
+			_ = c.(*net.TCPConn).CloseWrite()
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}()
+	for _, once := range []bool{false, true} {
+		o := newRequest(l.Addr().String())
+		o.Method, o.Body, o.NewConnection, o.FirstByteTimeout = http.MethodPost, make([]byte, 64<<20), once, 10*time.Second
+		_, fault := NewDispatcher().Send(context.Background(), o)
+		assert.Equal(t, fault, FaultBroken)
+	}
+}
+
 // Guards against a part of an answer without a length that is taken for the whole because
 // the connection was reset while the body of the request was still being written. The
 // error of the connection goes either to the write or to the read, so rounds repeat it.
--- a/transport/shfront/handler_test.go
+++ b/transport/shfront/handler_test.go
@@ -81,6 +81,8 @@
 type fixture struct {
 	handler *shfront.Handler
 	url     string
+	// client has connections of its own, which the end of other tests doesn't close.
+	client  *http.Client
 	servers []*server
 	reports chan shfront.CrashReport
 	view    shfleet.View
@@ -128,7 +130,7 @@
 	b.handler.Balancer.Update(time.Now(), b.view)
 	s := httptest.NewServer(b.handler)
 	t.Cleanup(s.Close)
-	b.url = s.URL
+	b.url, b.client = s.URL, s.Client()
 	return b
 }
 
@@ -147,7 +149,7 @@
 	r.Host = "shop"
 	r.Header.Set("Id", "7")
 	r.Header.Set("Left", cmp.Or(b.left, "400"))
-	response, err := http.DefaultClient.Do(r)
+	response, err := b.client.Do(r)
 	assert.NilError(t, err)
 	t.Cleanup(func() { response.Body.Close() })
 	return response
--- a/transport/shorigin/send_test.go
+++ b/transport/shorigin/send_test.go
@@ -254,6 +254,11 @@
 	}{
 		"silent": {func(c net.Conn, _ *http.Request) bool { time.Sleep(time.Second); return true }, shorigin.KindTimeout},
 		"closes": {func(c net.Conn, _ *http.Request) bool { c.Close(); return true }, shorigin.KindBroken},
+		"ends its side": {func(c net.Conn, _ *http.Request) bool {
+			c.(*net.TCPConn).CloseWrite()
+			time.Sleep(time.Second)
+			return true
+		}, shorigin.KindBroken},
 	} {
 		for _, rest := range []shorigin.Rest{nil, newPieces(nil)} {
 			t.Run(name, func(t *testing.T) {
