Answer requests that a planned stop would cut

Callers saw (on a system like ours, and here in the test): in a planned stop of an entry VM, requests that came late in the grace were passed on and cut without an answer at its end, also such that may not be repeated.

And at the end the process closed its connections, whatever was in progress.

Fix: shfront checks whether the VM refuses right before the first send, so that what was not sent gets 503. 200 ms before the end of the graceful shutdown the process cancels the context of all requests with ErrStopped; those in progress then get 502, since they may have run.

Handled already: short bodies and requests without one, and all requests in the stop of serve, which waits for them (TestPlannedStopUnderLoad).

--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -1,8 +1,10 @@
 package shfront
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -128,7 +130,7 @@
 func (x *exchange) admit() bool {
 	switch {
 	case x.handler.Refusing():
-		x.refuse("the VM stops", minRetryAfter)
+		x.refuse(reasonStops, minRetryAfter)
 		return false
 	case x.route == nil:
 		x.reject(http.StatusNotFound, "no route for host "+strconv.Quote(x.request.Host))
@@ -151,6 +153,11 @@
 // outcome is final.
 func (x *exchange) sendUntilFinal() {
 	for {
+		// Reading the body or waiting for the allowance may have taken long.
+		if x.mayHaveRun == 0 && x.handler.Refusing() {
+			x.refuse(reasonStops, minRetryAfter)
+			return
+		}
 		now := time.Now()
 		choice, refusal := x.handler.Balancer.Pick(now, x.balanced(now))
 		if refusal != nil {
@@ -268,8 +275,10 @@
 		return attemptMayRepeat
 	case shorigin.KindCanceled:
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
-		x.finish(outcomeCanceled, 0, "the caller left")
-		x.abort()
+		if !x.stopped() {
+			x.finish(outcomeCanceled, 0, "the caller left")
+			x.abort()
+		}
 	case shorigin.KindNoMemory:
 		x.handler.Balancer.Done(now, c, shbalance.Canceled{})
 	case shorigin.KindTimeout:
@@ -343,6 +352,8 @@
 func (x *exchange) noRetryReason() string {
 	left := time.Until(x.deadline)
 	switch {
+	case x.stopped():
+		return reasonStops
 	case x.body.spent():
 		return "the body cannot be sent again"
 	case x.mayHaveRun >= x.route.Attempts:
@@ -361,6 +372,12 @@
 	return ""
 }
 
+// stopped reports whether the process ends so soon that the request must end.
+func (x *exchange) stopped() bool { return errors.Is(context.Cause(x.request.Context()), ErrStopped) }
+
+// callerLeft reports whether the caller has closed its connection.
+func (x *exchange) callerLeft() bool { return x.request.Context().Err() != nil && !x.stopped() }
+
 // giveUp ends a request that is not sent to any further backend server.
 func (x *exchange) giveUp(reason string, retryAfter time.Duration) {
 	switch {
--- a/transport/shfront/handler.go
+++ b/transport/shfront/handler.go
@@ -1,6 +1,7 @@
 package shfront
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
@@ -19,6 +20,13 @@
 	"sequoiahollow/transport/shorigin"
 )
 
+// reasonStops is why a request is refused or ended when the VM stops.
+const reasonStops = "the VM stops"
+
+// ErrStopped is the cause with which the context of a request ends shortly before the
+// process does. The caller then gets an answer, which a canceled request has not.
+var ErrStopped = errors.New(reasonStops)
+
 // Handler is an http.Handler that forwards the requests of callers to backend
 // servers. Set the exported fields before use.
 type Handler struct {
@@ -31,7 +39,7 @@
 	// to close their connections.
 	Closing func() bool
 	// Refusing reports whether the VM stops so soon that a new request might not
-	// finish in time.
+	// finish in time. What is not answered by the end ends with ErrStopped.
 	Refusing func() bool
 	// Report is called for a request that counts as the cause of a crash, and
 	// again if such a request later completes. It must not block.
--- a/transport/shfront/place.go
+++ b/transport/shfront/place.go
@@ -47,7 +47,7 @@
 	case v.Table == nil:
 		status, report.Error = http.StatusServiceUnavailable, "no routing table yet"
 	case h.Refusing():
-		status, report.Error = http.StatusServiceUnavailable, "the VM stops"
+		status, report.Error = http.StatusServiceUnavailable, reasonStops
 	default:
 		route := v.Table.Route(hostOf(&http.Request{Host: q.Get("host")}), pathOf(q.Get("path")))
 		if route == nil {
--- a/transport/shfront/stream.go
+++ b/transport/shfront/stream.go
@@ -33,12 +33,12 @@
 	switch {
 	case readErr == nil && writeErr == nil:
 		seen = shbalance.Answered{Load: load, Connect: r.Connect, Transfer: time.Since(began)}
-	case writeErr != nil, x.request.Context().Err() != nil:
+	case writeErr != nil, x.callerLeft():
 		seen = shbalance.Canceled{}
 	}
 	x.handler.Balancer.Done(time.Now(), c, seen)
 	switch {
-	case writeErr != nil, x.request.Context().Err() != nil:
+	case writeErr != nil, x.callerLeft():
 		x.finish(outcomeCanceled, 0, "the caller left")
 		panic(http.ErrAbortHandler)
 	case readErr != nil:
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -260,6 +260,9 @@
 	e.Log.Info("entry VM stops", "graceSeconds", e.Settings.StopSeconds)
 	time.Sleep(time.Duration(serveShare * float64(grace)))
 	e.refusing.Store(true)
-	e.shutdown(time.Until(began.Add(grace - exitMargin)))
+	end := began.Add(grace - exitMargin)
+	timer := time.AfterFunc(time.Until(end)-answerMargin, func() { e.endRequests(shfront.ErrStopped) })
+	defer timer.Stop()
+	e.shutdown(time.Until(end))
 	e.Log.Info("entry VM stopped", "tookMs", time.Since(began).Milliseconds())
 }
--- a/transport/shsteer/shsteer.go
+++ b/transport/shsteer/shsteer.go
@@ -10,8 +10,10 @@
 // An entry VM that is asked to stop announces that it is not ready. It still
 // serves requests, since callers keep its address for a while, and tells callers
 // to close their connections. After serveShare of the time that it has to stop, it
-// refuses new requests as not run; it exits when the requests in progress have
-// ended and the callers have their answers. A control VM first transfers the leadership.
+// refuses as not run what it has not sent to a backend server; it exits when the
+// requests in progress have ended and the callers have their answers. Those that have
+// not ended shortly before the end of that time get an answer of the VM, as they may
+// have run. A control VM first transfers the leadership.
 package shsteer
 
 import (
@@ -40,6 +42,9 @@
 	// exitMargin is the time between the end of the graceful shutdown and the end
 	// of the stop time, when the process is killed.
 	exitMargin = 400 * time.Millisecond
+	// answerMargin is the time before the end of the graceful shutdown at which the
+	// requests in progress are ended, so that their callers get an answer.
+	answerMargin = 200 * time.Millisecond
 	// memoryShare is the share of the VM's memory that is the Go memory limit.
 	memoryShare = 0.6
 	// reopenPause is the pause before a failed store is opened again, and between
@@ -78,6 +83,9 @@
 	server  *shpeer.Server
 	http    []listener
 	failed  chan error
+	// requests is the context of all requests, which endRequests ends.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 	// budget bounds what is held for clients, nil if the settings have no limits.
 	budget *shmemory.Budget
 }
@@ -113,6 +121,7 @@
 		client: shpeer.NewClient(config), server: shpeer.NewServer(config),
 		failed: make(chan error, 1),
 	}
+	p.requests, p.endRequests = context.WithCancelCause(context.Background())
 	if s.MemoryMB > 0 || s.MaxFDs > 0 {
 		p.budget = shmemory.NewBudget(s.MemoryMB, freeFDs(s))
 		shlistener.AddMetrics(p.metrics, "held", p.budget)
@@ -148,7 +157,7 @@
 	}
 	accepts := &shlistener.Listener{Listener: l, Budget: p.budget}
 	s := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, BaseContext: func(net.Listener) context.Context { return p.requests }, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(p.Log.Handler(), slog.LevelDebug),
 	}
 	x := listener{Server: s, accepts: accepts}
