Keep serve running while its disk is full

Callers saw: when the disk of a VM of serve with the control role was full for a moment, the process ended and their requests with it.

Cause: the Raft store stops at a write that fails. A fleet opens it again (shsteer); serve ended the process. Its account store took a write beyond a limit on the size of files for a damaged disk and stayed closed.

Evidence: TestFullDisks in cmd/sequoiahollow fills the disks of three processes one after the other under load.

Fix: shdaemon opens the control role again twice a second while the other roles go on, with a new incarnation, since the versions of its directory begin anew. EFBIG counts as a full disk in the account store.

--- a/cmd/sequoiahollow/memory_test.go
+++ b/cmd/sequoiahollow/memory_test.go
@@ -56,13 +56,7 @@
 	d := &crowdDaemon{t: t, token: strings.Repeat("t", 32), fds: fds}
 	roles := []shsettings.Role{shsettings.Entry, shsettings.Control, shsettings.Account}
 	first, second := d.vm("south-a-1", "south-a", roles...), d.vm("south-b-1", "south-b", shsettings.Entry, shsettings.Account)
-	for _, s := range []*shsettings.Settings{&first, &second} {
-		for _, p := range []shsettings.Settings{first, second} {
-			s.Peers = append(s.Peers, shsettings.Peer{
-				VM: p.VM, Region: p.Region, FailureDomain: p.FailureDomain, Roles: p.Roles, PeerAddress: p.PeerAddress,
-			})
-		}
-	}
+	connect(&first, &second)
 	program := shcrowd.Build(t, "sequoiahollow/cmd/sequoiahollow")
 	d.settings, d.process = first, startCrowdVM(t, program, first)
 	startCrowdVM(t, program, second)
@@ -96,6 +90,17 @@
 	}
 }
 
+// connect makes VMs peers of each other.
+func connect(vms ...*shsettings.Settings) {
+	for _, s := range vms {
+		for _, p := range vms {
+			s.Peers = append(s.Peers, shsettings.Peer{
+				VM: p.VM, Region: p.Region, FailureDomain: p.FailureDomain, Roles: p.Roles, PeerAddress: p.PeerAddress,
+			})
+		}
+	}
+}
+
 func startCrowdVM(t *testing.T, program string, s shsettings.Settings) *shcrowd.Process {
 	t.Helper()
 	data, err := json.Marshal(s)
--- a/transport/shaccount/internal/shsegment/log.go
+++ b/transport/shaccount/internal/shsegment/log.go
@@ -275,7 +275,7 @@
 	if err == nil {
 		return nil
 	}
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG) {
 		return ErrFull.Wrap(err)
 	}
 	l.failed = ErrFailed.Wrap(err)
--- a/transport/shdaemon/daemon.go
+++ b/transport/shdaemon/daemon.go
@@ -9,8 +9,8 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +30,6 @@
 	"sequoiahollow/transport/shentry"
 	"sequoiahollow/transport/shpeer"
 	"sequoiahollow/transport/shreplica"
-	"sequoiahollow/transport/shstore"
 	"sequoiahollow/transport/shview"
 )
 
@@ -68,15 +67,16 @@
 	server  *shpeer.Server
 	// peerBudget bounds what is held for connections from other VMs.
 	peerBudget *shmemory.Budget
-	replica    *shreplica.Replica
-	store      *shaccount.Store
-	outbox     *shaccount.Outbox
-	ids        *shaccount.Allocator
-	proposer   *shview.Proposer
-	syncer     *shview.Syncer
-	entry      *shentry.Entry
-	burn       *burnRecorder
-	http       httpServers
+	// replica is nil without the control role, and while it is opened again.
+	replica  atomic.Pointer[shreplica.Replica]
+	store    *shaccount.Store
+	outbox   *shaccount.Outbox
+	ids      *shaccount.Allocator
+	proposer *shview.Proposer
+	syncer   *shview.Syncer
+	entry    *shentry.Entry
+	burn     *burnRecorder
+	http     httpServers
 }
 
 // Run runs the roles of the settings until ctx ends, then stops gracefully. It
@@ -92,28 +92,19 @@
 		return errors.Join(err, d.close())
 	}
 	d.log.Info("daemon started", "roles", s.Roles, "callerAddress", s.CallerAddress, "incarnation", d.incarnation)
+	var running sync.WaitGroup
+	running.Go(func() { d.keepReplicaOpen(background) })
 	var failure error
 	select {
 	case <-ctx.Done():
 		d.stop(background)
 	case failure = <-d.http.failed:
-	case <-d.replicaDone():
-		failure = fmt.Errorf("replicated store: %w", d.replica.Err())
 	}
 	cancel()
+	running.Wait()
 	return errors.Join(failure, d.close())
 }
 
-// replicaDone returns a channel that is closed when the replica fails or
-// closes. Without the control role the channel is nil, which never becomes
-// ready.
-func (d *daemon) replicaDone() <-chan struct{} {
-	if d.replica == nil {
-		return nil
-	}
-	return d.replica.Done()
-}
-
 // open creates the components of the roles. None accepts connections before
 // serve is called.
 func (d *daemon) open() error {
@@ -141,35 +132,11 @@
 	d.syncer = &shview.Syncer{Client: d.client, Proposer: d.proposer, Addresses: control, Heartbeat: d.heartbeat, Log: d.log}
 	d.openEntry()
 	if s.Has(shsettings.Control) {
-		return d.openReplica()
+		return d.openReplica(d.incarnation)
 	}
 	return nil
 }
 
-func (d *daemon) openReplica() error {
-	s := d.settings
-	var voters []shstore.Peer
-	var others []string
-	for _, p := range s.Peers {
-		if !p.Has(shsettings.Control) {
-			continue
-		}
-		voters = append(voters, shstore.Peer{VM: p.VM, Address: p.PeerAddress})
-		if p.VM != s.VM {
-			others = append(others, p.PeerAddress)
-		}
-	}
-	replica, err := shreplica.Open(shreplica.Config{
-		VM: s.VM, Incarnation: d.incarnation, Peers: others, Log: d.log,
-		Store: shstore.Config{
-			VM: s.VM, Address: s.PeerAddress, Folder: filepath.Join(s.DataFolder, "control"),
-			Voters: voters, Bootstrap: true, Client: d.client, Server: d.server, Logger: d.log,
-		},
-	})
-	d.replica = replica
-	return err
-}
-
 func (d *daemon) openEntry() {
 	s := d.settings
 	d.burn = newBurnRecorder(s)
@@ -233,8 +200,8 @@
 // close closes the listeners and what open created.
 func (d *daemon) close() error {
 	errs := []error{d.http.close()}
-	if d.replica != nil {
-		errs = append(errs, d.replica.Close())
+	if r := d.replica.Load(); r != nil {
+		errs = append(errs, r.Close())
 	}
 	if d.server != nil {
 		errs = append(errs, d.server.Close(), d.client.Close())
--- a/transport/shdaemon/metrics.go
+++ b/transport/shdaemon/metrics.go
@@ -10,6 +10,7 @@
 
 	"sequoiahollow/coordination/shraft"
 	"sequoiahollow/state/shrecord"
+	"sequoiahollow/state/shsettings"
 )
 
 // metricsInterval is the time between updates of gauges with labels.
@@ -26,11 +27,15 @@
 		records, _ := d.outbox.Unreplicated()
 		return float64(records)
 	})
-	if d.replica != nil {
+	if d.settings.Has(shsettings.Control) {
 		// A VM that starts with an empty disk becomes a voter again once its log has
 		// caught up.
 		set.NewGauge("sequoiahollow_control_voter", func() float64 {
-			s := d.replica.Status()
+			replica := d.replica.Load()
+			if replica == nil {
+				return 0
+			}
+			s := replica.Status()
 			return boolValue(slices.ContainsFunc(s.Voters, func(m shraft.Member) bool { return m.ID == s.ID }))
 		})
 	}
--- a/transport/shdaemon/stop.go
+++ b/transport/shdaemon/stop.go
@@ -36,12 +36,13 @@
 		return d.handOver(ctx)
 	})
 	d.runStep("leadership transferred", func() error {
-		if d.replica == nil {
+		replica := d.replica.Load()
+		if replica == nil {
 			return nil
 		}
 		ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 		defer cancel()
-		return d.replica.Transfer(ctx)
+		return replica.Transfer(ctx)
 	})
 	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
 	defer cancel()
