Bound the answer that the command request reads

Callers saw: the command `request` kept all of an answer without end until its timeout.

Cause: it read the body without a bound; shcaller has one of 64 MiB.

Evidence: TestRequestEndless answers with zeros until the peer closes.

Fix: the same bound; beyond it the outcome is unknown.

--- a/cmd/sequoiahollow/request.go
+++ b/cmd/sequoiahollow/request.go
@@ -26,6 +26,8 @@
 	// maxLookupBytes bounds a lookup answer. One with 100 entry VMs needs about
 	// 15 KiB.
 	maxLookupBytes = 1 << 20
+	// maxAnswerBytes bounds the body of an answer, as shcaller does.
+	maxAnswerBytes = 64 << 20
 )
 
 // callerFlags select the entry VM to ask and the service.
@@ -193,10 +195,13 @@
 		Replayed:  response.Header.Get(shwire.HeaderReplayed) == "true",
 		Status:    response.StatusCode,
 	}
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	report.Body = string(body)
-	if err != nil {
+	switch {
+	case err != nil:
 		report.Outcome, report.Reason = shmodel.Unknown, "the answer broke off: "+err.Error()
+	case len(body) > maxAnswerBytes:
+		report.Outcome, report.Reason = shmodel.Unknown, fmt.Sprintf("the answer is longer than %d bytes", maxAnswerBytes)
 	}
 	switch report.Outcome {
 	case shmodel.Answered, shmodel.NotRun, shmodel.Unknown:
--- a/cmd/sequoiahollow/request_test.go
+++ b/cmd/sequoiahollow/request_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// TestRequestEndless guards against an answer without end that takes the memory of the machine.
+func TestRequestEndless(t *testing.T) {
+	piece := make([]byte, 64<<10)
+	address := entryVM(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(shwire.HeaderOutcome, "answered")
+		for {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+		}
+	})
+	code, out, stderr := execute(t, "request", "--entry", address, "--service", "s", "--timeout", "5s")
+	assert.Equal(t, code, exitUnknown)
+	assert.Assert(t, len(out) <= 65<<20, "%d bytes", len(out))
+	assertContains(t, stderr, "longer than")
+}
+
 // TestRequestStatuses guards against a status that is none and passes for an answer.
 func TestRequestStatuses(t *testing.T) {
 	for _, status := range []string{"000", "099", "101", "600", "999"} {
