Keep the ports of the processes of a test apart

The ports of the two processes of crowdDaemon were chosen one by one and closed in between, so that two could be the same. The process that comes second then ends at its start, and the first, whose account records lack their second copy, answers nothing.

Also: say in shanswer that heads are bounded.

--- a/cmd/sequoiahollow/disk_test.go
+++ b/cmd/sequoiahollow/disk_test.go
@@ -36,6 +36,9 @@
 		settings[i] = &vms[i].settings
 	}
 	connect(settings...)
+	for _, d := range vms {
+		d.freePorts()
+	}
 	var owners []string
 	for _, d := range vms {
 		d.process = startCrowdVM(t, program, d.settings)
--- a/cmd/sequoiahollow/memory_test.go
+++ b/cmd/sequoiahollow/memory_test.go
@@ -42,7 +42,9 @@
 	settings shsettings.Settings
 	token    string
 	fds      int
-	process  *shcrowd.Process
+	// ports keep the addresses of the settings from being chosen twice.
+	ports   []net.Listener
+	process *shcrowd.Process
 }
 
 func startCrowdDaemon(t *testing.T) *crowdDaemon {
@@ -57,6 +59,7 @@
 	roles := []shsettings.Role{shsettings.Entry, shsettings.Control, shsettings.Account}
 	first, second := d.vm("south-a-1", "south-a", roles...), d.vm("south-b-1", "south-b", shsettings.Entry, shsettings.Account)
 	connect(&first, &second)
+	d.freePorts()
 	program := shcrowd.Build(t, "sequoiahollow/cmd/sequoiahollow")
 	d.settings, d.process = first, startCrowdVM(t, program, first)
 	startCrowdVM(t, program, second)
@@ -71,7 +74,14 @@
 	return d
 }
 
-// vm returns the settings of a VM without its peers.
+// freePorts lets the processes listen at their addresses.
+func (d *crowdDaemon) freePorts() {
+	for _, l := range d.ports {
+		l.Close()
+	}
+}
+
+// vm returns the settings of a VM without its peers. Call freePorts before it starts.
 func (d *crowdDaemon) vm(name shmodel.VM, domain shmodel.FailureDomain, roles ...shsettings.Role) shsettings.Settings {
 	d.t.Helper()
 	folder := d.t.TempDir()
@@ -80,7 +90,7 @@
 	address := func() string {
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.43.1:0", 20+os.Getpid()%200))
 		assert.NilError(d.t, err)
-		defer l.Close()
+		d.ports = append(d.ports, l)
 		return l.Addr().String()
 	}
 	return shsettings.Settings{
--- a/transport/shanswer/shanswer.go
+++ b/transport/shanswer/shanswer.go
@@ -8,13 +8,15 @@
 // its reset: an answer without a length ends with its connection, and is whole only if no
 // error occurred on it. It also checks the head of each answer before its reader has the
 // whole of it: the status line, the names and values of fields, and whether fields
-// contradict each other on where the answer ends. Statuses are checked by
+// contradict each other on where the answer ends. It bounds the length and the number of
+// fields of a head, and can reserve the memory of a long one. Statuses are checked by
 // shmodel.IsFinalStatus.
 //
 // # API
 //
-// Transport is an http.Transport on such connections. Other clients open a Conn with Dial,
-// call Conn.Expect before they read each answer, and CheckTrailer for its body.
+// Transport is an http.Transport on such connections; WithReserve reserves the memory of
+// its heads. Other clients open a Conn with Dial, call Conn.Expect before they read each
+// answer, and CheckTrailer for its body.
 package shanswer
 
 import (
