Give each process of a test ports of its own

Cause: tests choose ports one by one and close each before the next.

Fix: shloopback.FreePort returns no port twice in a process; all tests that start processes use it.

--- a/cmd/sequoiahollow/disk_test.go
+++ b/cmd/sequoiahollow/disk_test.go
@@ -36,9 +36,6 @@
 		settings[i] = &vms[i].settings
 	}
 	connect(settings...)
-	for _, d := range vms {
-		d.freePorts()
-	}
 	var owners []string
 	for _, d := range vms {
 		d.process = startCrowdVM(t, program, d.settings)
--- a/cmd/sequoiahollow/memory_test.go
+++ b/cmd/sequoiahollow/memory_test.go
@@ -5,7 +5,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -22,6 +21,7 @@
 	"sequoiahollow/state/shmodel"
 	"sequoiahollow/state/shsettings"
 	"sequoiahollow/transport/shbackend"
+	"sequoiahollow/transport/shloopback"
 	"sequoiahollow/transport/shoperator"
 )
 
@@ -42,9 +42,7 @@
 	settings shsettings.Settings
 	token    string
 	fds      int
-	// ports keep the addresses of the settings from being chosen twice.
-	ports   []net.Listener
-	process *shcrowd.Process
+	process  *shcrowd.Process
 }
 
 func startCrowdDaemon(t *testing.T) *crowdDaemon {
@@ -59,7 +57,6 @@
 	roles := []shsettings.Role{shsettings.Entry, shsettings.Control, shsettings.Account}
 	first, second := d.vm("south-a-1", "south-a", roles...), d.vm("south-b-1", "south-b", shsettings.Entry, shsettings.Account)
 	connect(&first, &second)
-	d.freePorts()
 	program := shcrowd.Build(t, "sequoiahollow/cmd/sequoiahollow")
 	d.settings, d.process = first, startCrowdVM(t, program, first)
 	startCrowdVM(t, program, second)
@@ -74,25 +71,13 @@
 	return d
 }
 
-// freePorts lets the processes listen at their addresses.
-func (d *crowdDaemon) freePorts() {
-	for _, l := range d.ports {
-		l.Close()
-	}
-}
-
-// vm returns the settings of a VM without its peers. Call freePorts before it starts.
+// vm returns the settings of a VM without its peers.
 func (d *crowdDaemon) vm(name shmodel.VM, domain shmodel.FailureDomain, roles ...shsettings.Role) shsettings.Settings {
 	d.t.Helper()
 	folder := d.t.TempDir()
 	tokenFile := filepath.Join(folder, "token")
 	assert.NilError(d.t, os.WriteFile(tokenFile, []byte(d.token), 0o600))
-	address := func() string {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.43.1:0", 20+os.Getpid()%200))
-		assert.NilError(d.t, err)
-		d.ports = append(d.ports, l)
-		return l.Addr().String()
-	}
+	address := func() string { return shloopback.Free(d.t) }
 	return shsettings.Settings{
 		VM: name, Region: "tasmania-south", FailureDomain: domain, Roles: roles, DataFolder: filepath.Join(folder, "data"),
 		CallerAddress: address(), ServerAddress: address(), PeerAddress: address(), OperatorAddress: address(),
--- a/transport/shloopback/shloopback.go
+++ b/transport/shloopback/shloopback.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
+	"sync"
 	"testing"
 )
 
@@ -28,12 +30,27 @@
 	return l
 }
 
-// Free returns an address of Host(1) at which nobody listens.
-func Free(t testing.TB) string {
+// chosen has the ports that Free and FreePort have returned.
+var chosen sync.Map
+
+// FreePort returns a port at which nobody listens at Host(1). The operating system gives
+// out some of them over and over; no call in this process returns the same port as another.
+func FreePort(t testing.TB) int {
 	t.Helper()
-	l := Listen(t)
-	if err := l.Close(); err != nil {
-		t.Fatal(err)
+	for {
+		l := Listen(t)
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		if _, again := chosen.LoadOrStore(port, true); !again {
+			return port
+		}
 	}
-	return l.Addr().String()
+}
+
+// Free returns an address of Host(1) at which nobody listens, with a port of FreePort.
+func Free(t testing.TB) string {
+	t.Helper()
+	return net.JoinHostPort(Host(1), strconv.Itoa(FreePort(t)))
 }
