--- a/internal/shcrowd/shcrowd.go
+++ b/internal/shcrowd/shcrowd.go
@@ -1,5 +1,5 @@
 // Package shcrowd runs a program beside a crowd of clients that misuse it, for tests
-// of what a process holds for clients.
+// of what a process holds for clients and of what ends it.
 //
 // # Model
 //
@@ -8,6 +8,9 @@
 // a body, and stays open until the test ends, whatever the program answers. What is
 // checked follows from the settings of the test alone: the process lives, and its
 // peak memory and its open descriptors are within the bounds.
+//
+// The other side can fail as well: a Flood is a backend server whose answers have no end,
+// and FillDisk makes the disk of a Process full.
 package shcrowd
 
 import (
