Close the listener of a test VM that stops at once

Cause: the test stops its VM right after the start and starts it again at its address. The goroutine that serves may not have begun by then; it closes the listener when it does, which can be after the next start. The product starts no second server in one process.

Fix: the VMs of the tests of shstore, and of shregistry, which did the same, close the listener when they stop.

--- a/transport/shregistry/registry_test.go
+++ b/transport/shregistry/registry_test.go
@@ -28,6 +28,8 @@
 type vm struct {
 	*shregistry.Registry
 	config shregistry.Config
+	// serving is closed by the server, unless that is closed before it begins to serve.
+	serving net.Listener
 }
 
 func (v *vm) start(t *testing.T) {
@@ -38,6 +40,7 @@
 	v.config.Client = shpeer.NewClient(shpeer.Config{Self: v.config.PeerAddress, Connections: 1})
 	v.Registry, err = shregistry.Open(v.config)
 	assert.NilError(t, err)
+	v.serving = l
 	go v.config.Server.Serve(l)
 }
 
@@ -45,6 +48,7 @@
 	v.Registry.Close()
 	v.config.Client.Close()
 	v.config.Server.Close()
+	_ = v.serving.Close()
 }
 
 // startGroup starts five control VMs, of which three are seeds.
--- a/transport/shstore/store_test.go
+++ b/transport/shstore/store_test.go
@@ -49,13 +49,15 @@
 
 // vm is one VM of a test group. It keeps its address when it restarts.
 type vm struct {
-	t        *testing.T
-	config   shstore.Config
-	list     *wordList
-	listener net.Listener
-	server   *shpeer.Server
-	client   *shpeer.Client
-	store    *shstore.Store
+	t      *testing.T
+	config shstore.Config
+	list   *wordList
+	// listener is open until the server serves it; serving is closed by the server, unless
+	// that is closed before it begins to serve.
+	listener, serving net.Listener
+	server            *shpeer.Server
+	client            *shpeer.Client
+	store             *shstore.Store
 }
 
 func group(t *testing.T, count int) []*vm {
@@ -106,7 +108,7 @@
 	assert.NilError(v.t, err)
 	v.store = store
 	go v.server.Serve(v.listener)
-	v.listener = nil
+	v.listener, v.serving = nil, v.listener
 }
 
 func (v *vm) stop() {
@@ -116,6 +118,7 @@
 	assert.NilError(v.t, v.store.Close())
 	assert.NilError(v.t, v.client.Close())
 	assert.NilError(v.t, v.server.Close())
+	_ = v.serving.Close()
 	v.store = nil
 }
 
