Bound what the floods of tests leave unread

The process passes an endless body on and the clients don't read it, so that the buffers of the operating system fill: 1,527 and 1,559 MiB in its cases body and chunks, which is the bound of this machine on memory for TCP. Beyond it the kernel drops received data (TCPRcvQDrop 3,838, TCPMemoryPressuresChrono up by 8.9 s in one run of the two), also of other tests.

Fix: behind 512 KiB the flood goes on in pieces with pauses. The long body has 1 MiB in place of 4. What the floods check is not changed.

--- a/cmd/sequoiahollow/flood_test.go
+++ b/cmd/sequoiahollow/flood_test.go
@@ -32,6 +32,8 @@
 	const head = "GET /guidance/%d HTTP/1.1\r\nHost: a\r\n%s: %s\r\n%s: 9000\r\n\r\n"
 	for name, f := range shcrowd.Floods(shwire.HeaderRequestID + ": {id}\r\n") {
 		t.Run(name, func(t *testing.T) {
+			// The process passes a body on, and the clients don't read it.
+			f.Burst = 512 << 10
 			d := startCrowdDaemonWith(t, fds)
 			d.announce(shcrowd.StartFlood(t, f, shwire.HeaderRequestID), slots)
 			time.Sleep(slowStart)
--- a/internal/shcrowd/flood.go
+++ b/internal/shcrowd/flood.go
@@ -8,12 +8,17 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Flood is an answer that fills the memory of who reads it: Begin, and then Piece over and
 // over or, without a Piece, silence.
 type Flood struct {
 	Begin, Piece string
+	// Burst, unless zero, is how many bytes are sent at full rate. What the peer does not
+	// read fills buffers of the operating system, whose bound all tests share: beyond it
+	// connections of other tests lose data.
+	Burst int
 }
 
 // Floods returns floods by name. Fields is what an answer to the request has, as whole field
@@ -23,7 +28,7 @@
 		// longHead is more than the head of an answer may have, and allowedHead less.
 		longHead    = 200 << 10
 		allowedHead = 60 << 10
-		longBody    = 4 << 20
+		longBody    = 1 << 20
 	)
 	head := "HTTP/1.1 200 OK\r\n" + fields
 	chunks := head + "Transfer-Encoding: chunked\r\n\r\n"
@@ -87,14 +92,21 @@
 	return l.Addr().String()
 }
 
+// slowPause is the time between pieces behind a Burst.
+const slowPause = 100 * time.Millisecond
+
 func (f Flood) serve(c net.Conn, idHeader string) {
 	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
+	sent := len(f.Begin)
 	_, err = io.WriteString(c, strings.ReplaceAll(f.Begin, "{id}", r.Header.Get(idHeader)))
 	for err == nil && f.Piece != "" {
+		if sent += len(f.Piece); f.Burst > 0 && sent > f.Burst {
+			time.Sleep(slowPause)
+		}
 		_, err = io.WriteString(c, f.Piece)
 	}
 	_, _ = io.Copy(io.Discard, c)
