Do not pass on a status that promises not run without the word of the backend

shfront delivered each signed answer of a once-only request unchanged, unless its status was 421. Only the header Dialect.NotRun states that a request has not run; 408, 421, 429 and 503 promise the same to clients, and nothing compared the two. A signed 421 was also taken for that of another process at the address, so that the request was sent a second time.

Such an answer now counts as a failure of the backend server that may have run the request: an idempotent one goes to another backend server, a once-only one ends with 502. With Dialect.NotRun the request goes elsewhere as before, so none of the four statuses reaches a client unless no attempt may have run.

Ruled out: the refusals of the entry VM itself, which need mayHaveRun == 0; attempts that count as not sent (nothing was written); the product's own interface, whose outcome header the entry VM sets and whose client never lets net/http repeat a request; refusals for lack of memory, made before a handler has the request.

--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -56,8 +56,8 @@
 	answerBytes int
 	// refusal is why the balancer chose no further backend server, nil if it did.
 	refusal *shbalance.Refusal
-	// lastFailure is the latest complete answer that reports a failure of the
-	// backend server. The caller gets it if no other attempt succeeds.
+	// lastFailure is the latest complete answer that reports a failure of the backend
+	// server and may be passed on. The caller gets it if no other attempt succeeds.
 	lastFailure *shorigin.Response
 	// hedged says that the request was sent to a second backend server before the
 	// first one answered. beforeDelivery, unless nil, ends the other send.
@@ -302,7 +302,7 @@
 	load := h.Dialect.ParseLoad(r.Header.Get(h.Dialect.Load))
 	x.reached++
 	switch {
-	case r.Status == StatusReplaced:
+	case x.isReplaced(r):
 		x.logAttempt(c, "replaced", nil)
 		h.Balancer.Done(now, c, shbalance.Replaced{})
 		return attemptMayRepeat
@@ -328,7 +328,8 @@
 		x.deliverStream(c, r, load)
 		return attemptDelivered
 	}
-	failed := r.Status >= http.StatusInternalServerError
+	withheld := promisesNotRun(r.Status)
+	failed := withheld || r.Status >= http.StatusInternalServerError
 	var seen shbalance.Observation = shbalance.Answered{Failed: failed, Load: load, Connect: r.Connect}
 	if declined {
 		seen = shbalance.Declined{Load: load}
@@ -337,15 +338,35 @@
 	if x.view.CrashCounts[x.digest] > 0 {
 		h.Report(CrashReport{Digest: x.digest, Cleared: true})
 	}
-	if failed && x.route.Kind == shmodel.Idempotent {
+	if withheld || failed && x.route.Kind == shmodel.Idempotent {
 		x.logAttempt(c, "failed "+strconv.Itoa(r.Status), nil)
-		x.lastFailure = &r
-		return attemptMayRepeat
+		if !withheld {
+			x.lastFailure = &r
+		}
+		return x.retryIfIdempotent()
 	}
 	x.deliver(c, r, load)
 	return attemptDelivered
 }
 
+// isReplaced reports whether an answer says that the request was meant for another
+// backend server. A signed answer comes from a run of the request, whatever its status.
+func (x *exchange) isReplaced(r shorigin.Response) bool {
+	d := x.handler.Dialect
+	return r.Status == StatusReplaced && (r.Header.Get(d.NotRun) != "" || r.Header.Get(d.Signature) == "")
+}
+
+// promisesNotRun reports whether a status tells callers that their request has not run
+// and will not run. Callers then repeat once-only requests too, so such an answer is not
+// passed on unless its backend server states the same by Dialect.NotRun.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // noRetryReason returns why no further attempt may follow, or "" if one may. A
 // further attempt of a request that has reached a backend server is taken from
 // the retry budget.
--- a/transport/shfront/hedge.go
+++ b/transport/shfront/hedge.go
@@ -220,7 +220,7 @@
 // server that ran the request.
 func (x *exchange) isWhole(r shorigin.Response) bool {
 	d := x.handler.Dialect
-	return r.Status != StatusReplaced && r.Header.Get(d.NotRun) == "" && r.Header.Get(d.Signature) != ""
+	return r.Header.Get(d.NotRun) == "" && r.Header.Get(d.Signature) != ""
 }
 
 // finishHedge ends what still runs, and logs and counts the second send.
--- a/transport/shfront/shfront.go
+++ b/transport/shfront/shfront.go
@@ -6,7 +6,8 @@
 // A request is read completely, matched to a route, and sent to a backend server
 // that shbalance chooses. The result of the attempt decides what happens next:
 //
-//   - A complete answer is sent to the caller unchanged. A long answer of a route
+//   - A complete answer is sent to the caller unchanged, unless its status would
+//     promise that a request that may have run has not. A long answer of a route
 //     for downloads is sent while it arrives; if it breaks off, the connection to
 //     the caller is closed.
 //   - A request that certainly did not run is sent to another backend server.
@@ -25,7 +26,9 @@
 //
 // Retries are limited by the number of attempts and the timeout of the route,
 // the caller's timeout, and a retry budget per service. The caller is told that
-// the request has not run only if no attempt may have run. When the caller closes
+// the request has not run only if no attempt may have run. In place of such an answer of
+// a backend server that does not state the same by Dialect.NotRun, the caller gets 502,
+// or 504 after the deadline. When the caller closes
 // its connection, the attempt in progress is canceled.
 //
 // # Dialect
--- a/transport/shfront/status_test.go
+++ b/transport/shfront/status_test.go
@@ -55,3 +55,71 @@
 		})
 	}
 }
+
+// Guards against a caller that is told that its request has not run by a backend server
+// that has run it, and so sends a once-only request again.
+func TestStatusesThatPromiseNotRun(t *testing.T) {
+	for _, status := range []int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	} {
+		for _, after := range []string{"", "0.1"} {
+			t.Run(fmt.Sprintf("%d after %q", status, after), func(t *testing.T) {
+				ran := func(s *server, w http.ResponseWriter, r *http.Request) {
+					io.Copy(io.Discard, r.Body)
+					s.runs.Add(1)
+					w.Header().Set("Id", r.Header.Get("Id"))
+					w.Header().Set("Seal", "sealed")
+					if after != "" {
+						w.Header().Set("Retry-After", after)
+					}
+					w.WriteHeader(status)
+				}
+				assertOutcomeUnknown := func(method, path string, attempts, runs int) {
+					t.Helper()
+					b := newFixture(t, attempts, ran, ran)
+					response := b.send(t, method, path, "")
+					assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+					assert.Equal(t, response.Header.Get("Seal"), "")
+					assert.Equal(t, response.Header.Get("Retry-After"), "")
+					assert.Equal(t, b.runs(), runs)
+				}
+				assertOutcomeUnknown("POST", onceOnly, 2, 1)
+				assertOutcomeUnknown("GET", idempotent, 1, 1)
+
+				b := newFixture(t, 2, ran, answer)
+				for range 20 { // fills the retry budget, which starts empty
+					b.send(t, "GET", idempotent, "")
+				}
+				assert.Equal(t, b.send(t, "GET", idempotent, "").StatusCode, http.StatusOK)
+			})
+		}
+	}
+}
+
+// Guards against a request that is not sent to another backend server although the first
+// one states that it has not run.
+func TestStatedNotRun(t *testing.T) {
+	for _, status := range []int{http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			var declined atomic.Bool
+			behave := func(s *server, w http.ResponseWriter, r *http.Request) {
+				if !declined.CompareAndSwap(false, true) {
+					answer(s, w, r)
+					return
+				}
+				w.Header().Set("Id", r.Header.Get("Id"))
+				w.Header().Set("Seal", "sealed")
+				w.Header().Set("Not-Run", "1")
+				w.WriteHeader(status)
+			}
+			b := newFixture(t, 2, behave, behave)
+			declined.Store(true)
+			for range 20 { // fills the retry budget, which starts empty
+				b.send(t, "GET", idempotent, "")
+			}
+			declined.Store(false)
+			assert.Equal(t, b.send(t, "POST", onceOnly, "body").StatusCode, http.StatusOK)
+			assert.Equal(t, b.runs(), 21)
+		})
+	}
+}
