Keep what is known of a crashing request beside lost answers of other services

Each broken connection adds the digest of its request to the replicated crash counts. A once-only request is not repeated, so nothing clears its count. Of 1,024 counts the oldest went first, whatever its number and its service.

Crash reports now name the service. Beyond the bound the state drops a count of the service that has the most, and of these the oldest of the lowest number that has more than a quarter: lost answers go before crashes that were counted again, and a new request still has room to be counted up to the limit. Counts end four hours after the last crash, by the time of the leader's command.

The same cause on related paths: reported crashes at the leader, times of probes, queued crash reports, statements of absent backend servers, response times of routes and homes of keys were dropped whole or regardless of whose they were. They are held in shfair.Map, which drops the oldest of the group with the most entries, or, for homes, by route. Services take turns in the queue of reports. mayProbeCrash takes the service, so TestCrashProbe passes one; its checks are the same.

An empty list of counts is now sent as such. Before, it could be null, which says that nothing changed; TestCrashCountsOncePerInstance covers it.

Open: more than 500 requests of the same service that each break as many connections as the limit, within the time between two probes.

--- a/coordination/shbalance/backend_state.go
+++ b/coordination/shbalance/backend_state.go
@@ -247,8 +247,8 @@
 		n.addWarmKey(now, c.key)
 		return
 	}
-	t := b.routes[c.route]
-	if t == nil {
+	t, ok := b.routes.Get(c.route)
+	if !ok {
 		return
 	}
 	took = max(took, time.Millisecond)
--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sequoiahollow/coordination/shfair"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shhome"
 	"sequoiahollow/coordination/shlimit"
@@ -30,7 +31,7 @@
 	coldRates  map[shmodel.Service]float64
 	entries    []shmodel.VM
 	evacuated  map[shmodel.FailureDomain]bool
-	routes     map[string]*routeTimes
+	routes     shfair.Map[shmodel.Service, string, *routeTimes]
 	roundTrips map[shmodel.FailureDomain]*movingAverage
 	zones      map[shmodel.FailureDomain]*zoneState
 	keys       map[keySpace]map[string]*key
@@ -43,7 +44,7 @@
 	// sightings are keys that Sightings returns next.
 	sightings []shhome.Home
 	// absent holds the statements of instances that are not in the view.
-	absent map[shfleet.Instance]statement
+	absent shfair.Map[shmodel.Service, shfleet.Instance, statement]
 	// shapes and hedgeLimits are used for second sends only.
 	shapes      map[shapeKey]*shape
 	hedgeLimits map[shmodel.Service]*shlimit.ShareBudget
@@ -56,11 +57,11 @@
 		vmHash:     xxhash.Sum64String(string(place.VM)),
 		backends:   map[shmodel.BackendServer]*backendState{},
 		services:   map[shmodel.Service][]*backendState{},
-		routes:     map[string]*routeTimes{},
+		routes:     shfair.Map[shmodel.Service, string, *routeTimes]{Max: maxRoutes},
 		roundTrips: map[shmodel.FailureDomain]*movingAverage{},
 		zones:      map[shmodel.FailureDomain]*zoneState{},
 		keys:       map[keySpace]map[string]*key{},
-		absent:     map[shfleet.Instance]statement{},
+		absent:     shfair.Map[shmodel.Service, shfleet.Instance, statement]{Max: maxAbsent},
 		homes:      map[shhome.Key]shmodel.Region{},
 	}
 }
--- a/coordination/shbalance/export_test.go
+++ b/coordination/shbalance/export_test.go
@@ -1,6 +1,9 @@
 package shbalance
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+)
 
 // Snapshot returns all state that requests may change, as text.
 func (b *Balancer) Snapshot() string {
@@ -11,7 +14,7 @@
 	for id, n := range b.backends {
 		c.backends[string(id)] = fmt.Sprintf("%+v", *n)
 	}
-	for name, t := range b.routes {
+	for name, t := range b.routes.All() {
 		c.routes[name] = fmt.Sprintf("%+v", *t)
 	}
 	for name, t := range b.roundTrips {
@@ -25,5 +28,5 @@
 			c.keys[fmt.Sprint(space, name)] = fmt.Sprintf("%+v", *k)
 		}
 	}
-	return fmt.Sprintf("%+v %v %v %v", c, b.homes, b.sightings, b.absent)
+	return fmt.Sprintf("%+v %v %v %v", c, b.homes, b.sightings, maps.Collect(b.absent.All()))
 }
--- a/coordination/shbalance/home_test.go
+++ b/coordination/shbalance/home_test.go
@@ -51,3 +51,24 @@
 	b.SetHomes(nil, true)
 	assert.Equal(t, see(start.Add(shhome.RefreshInterval+time.Second)), 1)
 }
+
+// Guards against the homes of a route that are forgotten because another route has very
+// many keys.
+func TestHomesOfOtherRoutesAreKept(t *testing.T) {
+	b := balancer("e3", "s1", fleet(4))
+	homes := func(route string, first, n int) []shhome.Home {
+		list := make([]shhome.Home, n)
+		for i := range list {
+			list[i] = shhome.Home{Key: shhome.Key{Route: route, Name: fmt.Sprint(first + i)}, Region: "north"}
+		}
+		return list
+	}
+	quiet := homes(request("").Route.Name, 0, 20)
+	b.SetHomes(quiet, false)
+	for round := range 5 {
+		b.SetHomes(homes("busy", round*shhome.MaxKeys, shhome.MaxKeys), false)
+	}
+	for _, h := range quiet {
+		assert.Equal(t, pick(t, b, start, request(h.Name)).Backend.Zone[0], byte('n'), "key %s", h.Name)
+	}
+}
--- a/coordination/shbalance/learned.go
+++ b/coordination/shbalance/learned.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/state/shmodel"
 )
 
 // routeTimes are the learned response times of a route, without queueing and
@@ -54,18 +55,18 @@
 	return e.mean
 }
 
-// times returns the learned response times of a route. Routes come and go, so that
-// beyond maxRoutes all are forgotten.
+// times returns the learned response times of a route. Routes come and go, so that beyond
+// maxRoutes those that were used longest ago are forgotten.
 func (b *Balancer) times(r *shfleet.Route) *routeTimes {
-	t := b.routes[r.Name]
-	if t != nil {
-		return t
+	t, ok := b.routes.Get(r.Name)
+	if !ok {
+		t = &routeTimes{}
 	}
-	if len(b.routes) >= maxRoutes {
-		clear(b.routes)
+	service := shmodel.Service("")
+	if len(r.Parts) > 0 {
+		service = r.Parts[0].Service
 	}
-	t = &routeTimes{}
-	b.routes[r.Name] = t
+	b.routes.Put(service, r.Name, t)
 	return t
 }
 
--- a/coordination/shbalance/placement.go
+++ b/coordination/shbalance/placement.go
@@ -130,9 +130,9 @@
 		c.backends[n.backend.ID] = &state
 		c.services[r.Service] = append(c.services[r.Service], &state)
 	}
-	if t := b.routes[r.Route.Name]; t != nil {
+	if t, ok := b.routes.Get(r.Route.Name); ok {
 		times := *t
-		c.routes[r.Route.Name] = &times
+		*c.times(r.Route) = times
 	}
 	for name, z := range b.zones {
 		zone := *z
--- a/coordination/shbalance/statement.go
+++ b/coordination/shbalance/statement.go
@@ -74,35 +74,30 @@
 	if n := b.backends[i.ID]; n != nil && n.backend.Instance == i {
 		return n.stated
 	}
-	return b.absent[i]
+	s, _ := b.absent.Get(i)
+	return s
 }
 
 func (b *Balancer) setStatement(now time.Time, i shfleet.Instance, s statement) {
 	n := b.backends[i.ID]
 	switch {
-	case n == nil || n.backend.Born < i.Born:
-		b.keepStatement(now, i, s)
+	case n == nil:
+		b.keepStatement(now, "", i, s)
+	case n.backend.Born < i.Born:
+		b.keepStatement(now, n.backend.Service, i, s)
 	case n.backend.Instance == i:
 		n.stated = s
 	}
 }
 
 // keepStatement remembers a statement of an instance that is not in the view: it may
-// come back. Beyond maxAbsent the oldest statement is dropped.
-func (b *Balancer) keepStatement(now time.Time, i shfleet.Instance, s statement) {
+// come back. Beyond maxAbsent the oldest one of the service with the most is dropped. The
+// service is "" if it is not known.
+func (b *Balancer) keepStatement(now time.Time, service shmodel.Service, i shfleet.Instance, s statement) {
 	if s.isZero(now) {
 		return
 	}
-	if len(b.absent) >= maxAbsent {
-		var oldest shfleet.Instance
-		for other, x := range b.absent {
-			if oldest.ID == "" || x.at.Before(b.absent[oldest].at) {
-				oldest = other
-			}
-		}
-		delete(b.absent, oldest)
-	}
-	b.absent[i] = s
+	b.absent.Put(service, i, s)
 }
 
 // moveStatements keeps the statements of instances that are missing in the next view
@@ -111,16 +106,16 @@
 func (b *Balancer) moveStatements(now time.Time, next map[shmodel.BackendServer]*backendState) {
 	for id, n := range b.backends {
 		if x := next[id]; x == nil || x.backend.Born < n.backend.Born {
-			b.keepStatement(now, n.backend.Instance, n.stated)
+			b.keepStatement(now, n.backend.Service, n.backend.Instance, n.stated)
 		}
 	}
-	for i, s := range b.absent {
+	for i, s := range b.absent.All() {
 		switch n := next[i.ID]; {
 		case n != nil && n.backend.Instance == i:
 			n.stated = s
-			delete(b.absent, i)
+			b.absent.Delete(i)
 		case n != nil && n.backend.Born > i.Born, s.isZero(now), now.Sub(s.at) > absentPeriod:
-			delete(b.absent, i)
+			b.absent.Delete(i)
 		}
 	}
 }
--- a/coordination/shfleet/command.go
+++ b/coordination/shfleet/command.go
@@ -67,6 +67,8 @@
 type ReportCrash struct {
 	Digest  shmodel.Digest `json:"digest"`
 	Cleared bool           `json:"cleared,omitempty"`
+	// Service is what the request was sent to, "" in reports of earlier builds.
+	Service shmodel.Service `json:"service,omitempty"`
 	// Instance is the backend server that crashed, nil in reports of earlier builds.
 	// The state does not use it: the leader drops repeated reports.
 	Instance *Instance `json:"instance,omitempty"`
--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -26,8 +26,6 @@
 	// removal to recognize late heartbeats. The latest started ones are kept,
 	// since a heartbeat may be seconds late but not hours.
 	maxRememberedLifetimes = 16384
-	// maxCrashCounts bounds the digests with crash counts.
-	maxCrashCounts = 1024
 )
 
 // State is the replicated state. The zero value is the state before the first
@@ -59,7 +57,7 @@
 	Controls      map[shmodel.VM]Control `json:"controls,omitempty"`
 	ControlsAt    uint64                 `json:"controlsAt,omitempty"`
 	Ranges        shcontrol.Ranges       `json:"ranges"`
-	CrashCounts   []CrashCount           `json:"strikes,omitempty"`
+	CrashCounts   []storedCrashCount     `json:"strikes,omitempty"`
 	CrashCountsAt uint64                 `json:"strikesAt,omitempty"`
 }
 
@@ -73,13 +71,6 @@
 	Sum     []byte `json:"sum"`
 }
 
-// CrashCount is the number of reported crashes of backend servers while they ran
-// the request with a digest.
-type CrashCount struct {
-	Digest shmodel.Digest `json:"digest"`
-	Count  int            `json:"count"`
-}
-
 // Apply applies the command at a log index and at the time that the leader
 // assigned to the command.
 func (s *State) Apply(index uint64, at time.Time, c Command) Result {
@@ -111,7 +102,7 @@
 	case ReserveRange:
 		s.Ranges.Reserve(at.Round(0).UTC(), c.ReserveRange)
 	case ReportCrash:
-		s.countCrash(c)
+		s.countCrash(at, c)
 	}
 	return Accepted
 }
@@ -272,25 +263,6 @@
 	return vms
 }
 
-func (s *State) countCrash(c ReportCrash) {
-	i := slices.IndexFunc(s.CrashCounts, func(k CrashCount) bool { return k.Digest == c.Digest })
-	counts := slices.Clone(s.CrashCounts)
-	switch {
-	case c.Cleared && i < 0:
-		return
-	case c.Cleared:
-		counts = slices.Delete(counts, i, i+1)
-	case i < 0:
-		counts = append(counts, CrashCount{Digest: c.Digest, Count: 1})
-	default:
-		counts[i].Count++
-	}
-	if len(counts) > maxCrashCounts {
-		counts = counts[1:]
-	}
-	s.CrashCounts, s.CrashCountsAt = counts, s.Index
-}
-
 // Backend returns a backend server by its ID.
 func (s *State) Backend(id shmodel.BackendServer) (Backend, bool) {
 	b, ok := s.Backends[id]
--- a/coordination/shfleet/view.go
+++ b/coordination/shfleet/view.go
@@ -61,7 +61,7 @@
 		c.Controls = &controls
 	}
 	if whole || s.CrashCountsAt > index {
-		counts := s.CrashCounts
+		counts := s.crashCounts()
 		c.CrashCounts = &counts
 	}
 	return c
--- a/transport/shfront/crash.go
+++ b/transport/shfront/crash.go
@@ -4,12 +4,11 @@
 	"hash/fnv"
 	"time"
 
+	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/state/shmodel"
 )
 
 const (
-	// crashLimit is the crash count from which a request is refused.
-	crashLimit = 3
 	// firstCrashProbe is how long such a request is refused until one is sent to
 	// find out whether it still breaks backend servers. Each further crash
 	// multiplies the time by crashProbeFactor, up to maxCrashProbe, so that a request
@@ -33,29 +32,27 @@
 	at    time.Time
 }
 
-// mayProbeCrash reports whether a request with a crash count of crashLimit or more may
+// mayProbeCrash reports whether a request with a crash count of shfleet.CrashLimit or more may
 // be sent as a probe. Only an answer would clear the count, so that a request that is
 // never sent would be refused for good. The entry VMs take turns, in an order that
 // depends on the request.
-func (h *Handler) mayProbeCrash(now time.Time, d shmodel.Digest, count int) bool {
+func (h *Handler) mayProbeCrash(now time.Time, s shmodel.Service, d shmodel.Digest, count int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	wait := firstCrashProbe
-	for range count - crashLimit {
+	for range count - shfleet.CrashLimit {
 		wait = min(wait*crashProbeFactor, maxCrashProbe)
 	}
-	p, ok := h.crashProbes[d]
+	p, ok := h.crashProbes.Get(d)
 	if !ok || p.count != count {
-		if h.crashProbes == nil || len(h.crashProbes) >= maxCrashProbes {
-			h.crashProbes = map[shmodel.Digest]crashProbe{}
-		}
 		p = crashProbe{count: count, at: now.Add(wait + crashProbeStagger*time.Duration(h.probeRank(d)))}
 	}
 	due := !now.Before(p.at)
 	if due {
 		p.at = now.Add(wait)
 	}
-	h.crashProbes[d] = p
+	h.crashProbes.Max = maxCrashProbes
+	h.crashProbes.Put(s, d, p)
 	return due
 }
 
--- a/transport/shfront/crash_test.go
+++ b/transport/shfront/crash_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"sequoiahollow/coordination/shbalance"
+	"sequoiahollow/coordination/shfair"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/state/shmodel"
 )
@@ -28,14 +29,14 @@
 	digest := shmodel.Digest{1}
 	// The caller tries all entry VMs every 100 ms. A probe that crashes a backend
 	// server raises the count half a second later.
-	count, raiseAt := crashLimit, time.Time{}
+	count, raiseAt := shfleet.CrashLimit, time.Time{}
 	var probes []time.Duration
 	for now := start; now.Before(start.Add(20 * time.Minute)); now = now.Add(100 * time.Millisecond) {
 		if !raiseAt.IsZero() && now.After(raiseAt) {
 			count, raiseAt = count+1, time.Time{}
 		}
 		for _, h := range handlers {
-			if h.mayProbeCrash(now, digest, count) {
+			if h.mayProbeCrash(now, "s", digest, count) {
 				probes = append(probes, now.Sub(start))
 				raiseAt = now.Add(500 * time.Millisecond)
 			}
@@ -47,18 +48,18 @@
 
 	t.Run("one entry VM gets the requests", func(t *testing.T) {
 		for i, h := range handlers {
-			h.crashProbes = nil
-			assert.Assert(t, !h.mayProbeCrash(start, digest, crashLimit))
+			h.crashProbes = shfair.Map[shmodel.Service, shmodel.Digest, crashProbe]{}
+			assert.Assert(t, !h.mayProbeCrash(start, "s", digest, shfleet.CrashLimit))
 			latest := start.Add(firstCrashProbe + entries*crashProbeStagger)
-			assert.Assert(t, h.mayProbeCrash(latest, digest, crashLimit), "entry VM %d", i)
-			assert.Assert(t, !h.mayProbeCrash(latest, digest, crashLimit), "entry VM %d", i)
+			assert.Assert(t, h.mayProbeCrash(latest, "s", digest, shfleet.CrashLimit), "entry VM %d", i)
+			assert.Assert(t, !h.mayProbeCrash(latest, "s", digest, shfleet.CrashLimit), "entry VM %d", i)
 		}
 	})
 	t.Run("bounded", func(t *testing.T) {
 		h := handlers[0]
 		for i := range 3 * maxCrashProbes {
-			h.mayProbeCrash(start, shmodel.Digest{byte(i), byte(i >> 8), 7}, 100)
+			h.mayProbeCrash(start, "s", shmodel.Digest{byte(i), byte(i >> 8), 7}, 100)
 		}
-		assert.Assert(t, len(h.crashProbes) <= maxCrashProbes)
+		assert.Assert(t, h.crashProbes.Len() <= maxCrashProbes)
 	})
 }
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -101,8 +101,8 @@
 	x.key = compactKey(h.Dialect.Key(x.request.Header))
 	x.digest = x.contentDigest()
 	h.countRequest(x.service, x.received)
-	if n := x.view.CrashCounts[x.digest]; n >= crashLimit {
-		if !h.mayProbeCrash(x.received, x.digest, n) {
+	if n := x.view.CrashCounts[x.digest]; n >= shfleet.CrashLimit {
+		if !h.mayProbeCrash(x.received, x.service, x.digest, n) {
 			x.refuse(reasonCrashes, maxRetryAfter)
 			return
 		}
@@ -286,7 +286,7 @@
 	default:
 		x.handler.Balancer.Done(now, c, shbalance.Broken{})
 		if kind == shorigin.KindBroken {
-			x.handler.Report(CrashReport{Digest: x.digest, Instance: &c.Backend.Instance})
+			x.handler.Report(CrashReport{Digest: x.digest, Service: x.service, Instance: &c.Backend.Instance})
 		}
 	}
 	x.mayHaveRun++
@@ -336,7 +336,7 @@
 	}
 	h.Balancer.Done(now, c, seen)
 	if x.view.CrashCounts[x.digest] > 0 {
-		h.Report(CrashReport{Digest: x.digest, Cleared: true})
+		h.Report(CrashReport{Digest: x.digest, Service: x.service, Cleared: true})
 	}
 	if withheld || failed && x.route.Kind == shmodel.Idempotent {
 		x.logAttempt(c, "failed "+strconv.Itoa(r.Status), nil)
@@ -379,7 +379,7 @@
 		return "the body cannot be sent again"
 	case x.mayHaveRun >= x.route.Attempts:
 		return "attempts used up"
-	case x.mayHaveRun > 0 && x.view.CrashCounts[x.digest] >= crashLimit:
+	case x.mayHaveRun > 0 && x.view.CrashCounts[x.digest] >= shfleet.CrashLimit:
 		return reasonCrashes
 	case x.dialFailures >= maxDialFailures:
 		return "backend servers not reachable"
--- a/transport/shfront/handler.go
+++ b/transport/shfront/handler.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sequoiahollow/coordination/shbalance"
+	"sequoiahollow/coordination/shfair"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shlimit"
 	"sequoiahollow/state/shclock"
@@ -77,7 +78,7 @@
 	// currentWeights holds the state of the weighted round-robin by route name.
 	currentWeights map[string][]float64
 	// crashProbes holds requests that are refused for their crash counts.
-	crashProbes map[shmodel.Digest]crashProbe
+	crashProbes shfair.Map[shmodel.Service, shmodel.Digest, crashProbe]
 }
 
 // ServeHTTP implements http.Handler.
--- a/transport/shfront/hedge.go
+++ b/transport/shfront/hedge.go
@@ -202,7 +202,7 @@
 	case kind == shorigin.KindBroken:
 		// The connection broke before it was closed.
 		seen = shbalance.Broken{}
-		h.handler.Report(CrashReport{Digest: h.digest, Instance: &c.Backend.Instance})
+		h.handler.Report(CrashReport{Digest: h.digest, Service: h.service, Instance: &c.Backend.Instance})
 	case r.err == nil:
 		load := h.handler.Dialect.ParseLoad(r.response.Header.Get(h.handler.Dialect.Load))
 		seen = shbalance.Answered{Failed: r.response.Status >= http.StatusInternalServerError, Load: load, Connect: r.response.Connect}
--- a/transport/shfront/shfront.go
+++ b/transport/shfront/shfront.go
@@ -121,7 +121,9 @@
 // a request, which counts as a crash, or, with Cleared set, that a backend server
 // completed a request that has a crash count.
 type CrashReport struct {
-	Digest  shmodel.Digest
+	Digest shmodel.Digest
+	// Service is what the request was sent to.
+	Service shmodel.Service
 	Cleared bool
 	// Instance is the backend server that seems to have crashed, nil if Cleared.
 	Instance *shfleet.Instance
--- a/transport/shfront/stream.go
+++ b/transport/shfront/stream.go
@@ -47,7 +47,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if x.view.CrashCounts[x.digest] > 0 {
-		x.handler.Report(CrashReport{Digest: x.digest, Cleared: true})
+		x.handler.Report(CrashReport{Digest: x.digest, Service: x.service, Cleared: true})
 	}
 	x.finishDelivered(c, r, load)
 }
--- a/transport/shregistry/crash.go
+++ b/transport/shregistry/crash.go
@@ -8,8 +8,8 @@
 // maxReportBytes is more than a crash report has. Longer commands are not decoded.
 const maxReportBytes = 1 << 10
 
-// maxReportedCrashes bounds the remembered crash reports. If it is exceeded all are
-// forgotten, and a crash may count twice.
+// maxReportedCrashes bounds the remembered crash reports. A crash that is forgotten may
+// count twice.
 const maxReportedCrashes = 4096
 
 // reportedCrash is a crash that was reported for a request.
@@ -33,9 +33,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if report.Cleared {
-		for k := range r.reportedCrashes {
+		for k := range r.reportedCrashes.All() {
 			if k.digest == report.Digest {
-				delete(r.reportedCrashes, k)
+				r.reportedCrashes.Delete(k)
 			}
 		}
 		return false
@@ -44,12 +44,10 @@
 		return false
 	}
 	k := reportedCrash{report.Digest, *report.Instance}
-	if r.reportedCrashes[k] {
+	if _, ok := r.reportedCrashes.Get(k); ok {
 		return true
 	}
-	if r.reportedCrashes == nil || len(r.reportedCrashes) >= maxReportedCrashes {
-		r.reportedCrashes = map[reportedCrash]bool{}
-	}
-	r.reportedCrashes[k] = true
+	r.reportedCrashes.Max = maxReportedCrashes
+	r.reportedCrashes.Put(report.Service, k, struct{}{})
 	return false
 }
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sequoiahollow/coordination/shcontrol"
+	"sequoiahollow/coordination/shfair"
 	"sequoiahollow/coordination/shfleet"
 	"sequoiahollow/coordination/shhome"
 	"sequoiahollow/coordination/shload"
@@ -53,7 +54,7 @@
 	announcedAt map[shmodel.BackendServer]time.Time
 	sequences   map[shmodel.BackendServer]sequence
 	// reportedCrashes is kept in the memory of the leader only.
-	reportedCrashes map[reportedCrash]bool
+	reportedCrashes shfair.Map[shmodel.Service, reportedCrash, struct{}]
 	homes           shhome.Table
 	loads           shload.Sums
 
--- a/transport/shsteer/entry.go
+++ b/transport/shsteer/entry.go
@@ -40,7 +40,7 @@
 	balancer     *shbalance.Balancer
 	origin       *shorigin.Client
 	account      *accountWriter
-	crashReports chan shfront.CrashReport
+	crashReports reportQueue
 	seeds        atomic.Pointer[[]string]
 	closing      atomic.Bool
 	refusing     atomic.Bool
@@ -50,12 +50,9 @@
 	return &shorigin.Client{Link: shorigin.Link{BitsPerSecond: int64(s.LinkMbps * 1e6)}}
 }
 
-// maxQueuedReports bounds the queue of crash reports for the leader.
-const maxQueuedReports = 64
-
 // RunEntry runs an entry VM until ctx ends, then stops gracefully.
 func RunEntry(ctx context.Context, s shsettings.Fleet, options EntryOptions, log *slog.Logger) error {
-	e := &Entry{process: newProcess(s, log), origin: newOrigin(s), crashReports: make(chan shfront.CrashReport, maxQueuedReports)}
+	e := &Entry{process: newProcess(s, log), origin: newOrigin(s)}
 	seeds := s.PeerSeeds()
 	e.seeds.Store(&seeds)
 	place := shbalance.Place{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
@@ -174,29 +171,26 @@
 	return addresses
 }
 
-// report queues a crash report, or drops it if the queue is full. That is safe: if
-// the request is sent again and crashes a backend server, it is reported again.
+// report queues a crash report. If that drops one, it is safe: if the request is sent
+// again and crashes a backend server, it is reported again.
 func (e *Entry) report(r shfront.CrashReport) {
-	select {
-	case e.crashReports <- r:
-	default:
-		e.Log.Warn("crash report dropped", "digest", r.Digest)
+	if dropped, ok := e.crashReports.put(r); ok {
+		e.Log.Warn("crash report dropped", "digest", dropped.Digest, "service", dropped.Service)
 	}
 }
 
 func (e *Entry) sendReports(ctx context.Context) {
 	for {
-		select {
-		case r := <-e.crashReports:
-			callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-			err := e.watcher.Propose(callCtx, shfleet.ReportCrash{Digest: r.Digest, Cleared: r.Cleared, Instance: r.Instance})
-			cancel()
-			if err != nil {
-				e.Log.Warn("crash report not recorded", "digest", r.Digest, "error", err)
-			}
-		case <-ctx.Done():
+		r, ok := e.crashReports.take(ctx)
+		if !ok {
 			return
 		}
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		err := e.watcher.Propose(callCtx, shfleet.ReportCrash{Digest: r.Digest, Service: r.Service, Cleared: r.Cleared, Instance: r.Instance})
+		cancel()
+		if err != nil {
+			e.Log.Warn("crash report not recorded", "digest", r.Digest, "service", r.Service, "error", err)
+		}
 	}
 }
 
