Let no late announcement of a backend server undo a later one

Each control VM kept the sequence numbers that it received itself, in its memory, and forgot them with the backend server. The replicated state had none, and dropped with a backend server that its lifetime leaves.

The command that records an announcement now carries its number. The state keeps for the last lifetime of each ID the number of the last recorded announcement, whether it leaves and whether it ended, also for an hour after the removal, so that the same answer comes from every VM, after a restart and under another leader. Outdated announcements are acknowledged and change nothing, as before. A cold one is always recorded: a VM that lags could take an earlier cold period for the present one. Commands without numbers lead to the same state as in earlier builds, and observers get the same changes.

Open, in docs/proofs.md: withdrawals without a start time, reports of heartbeats.

--- a/coordination/shfleet/command.go
+++ b/coordination/shfleet/command.go
@@ -25,10 +25,13 @@
 }
 
 // PutBackends records announcements of backend servers. An announcement is
-// ignored if its process lifetime has ended or a newer lifetime is known for the
-// ID or the address.
+// ignored if its process lifetime has ended, a newer lifetime is known for the
+// ID or the address, or a later announcement of the lifetime was recorded.
 type PutBackends struct {
 	Backends []Backend `json:"backends"`
+	// Sequences are the numbers of the announcements, nil in commands of earlier builds.
+	// They increase with each announcement of a lifetime.
+	Sequences []int64 `json:"sequences,omitempty"`
 }
 
 // RemoveBackends removes backend servers. If Ended is set, later announcements
--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -48,6 +48,9 @@
 	// Lapsed holds Born of the last lifetime of each ID that was removed because
 	// its announcements stopped.
 	Lapsed map[shmodel.BackendServer]int64 `json:"lapsed,omitempty"`
+	// Statements holds what the last lifetime of each ID has said of itself, also after
+	// its removal.
+	Statements map[shmodel.BackendServer]statement `json:"statements,omitempty"`
 	// Removals lists the last removed instances, the oldest first. Removals up
 	// to the log index RemovedUpTo are no longer listed.
 	Removals      []removedInstance      `json:"removals,omitempty"`
@@ -75,18 +78,25 @@
 // assigned to the command.
 func (s *State) Apply(index uint64, at time.Time, c Command) Result {
 	s.Index = index
+	if index%statementSweep == 0 {
+		s.forgetStatements(at)
+	}
 	switch c := c.(type) {
 	case PutDocument:
 		return s.putDocument(c.Document)
 	case SetEvacuation:
 		s.setEvacuation(c)
 	case PutBackends:
-		for _, b := range c.Backends {
-			s.putBackend(b)
+		for i, b := range c.Backends {
+			if i < len(c.Sequences) {
+				s.putNumbered(at, b, c.Sequences[i])
+			} else {
+				s.putBackend(at, b)
+			}
 		}
 	case RemoveBackends:
 		for _, i := range c.Instances {
-			s.removeBackend(i, c.Ended)
+			s.removeBackend(at, i, c.Ended)
 		}
 	case PutEntry:
 		s.putEntry(c.Entry)
@@ -142,24 +152,27 @@
 	s.Evacuated = slices.DeleteFunc(slices.Clone(s.Evacuated), func(z shmodel.FailureDomain) bool { return z == c.Zone })
 }
 
-func (s *State) putBackend(b Backend) {
+// putBackend reports whether it has recorded the announcement.
+func (s *State) putBackend(at time.Time, b Backend) bool {
 	if !s.Admits(b) {
-		return
+		return false
 	}
 	for id, other := range s.Backends {
 		if id != b.ID && other.Address == b.Address {
 			// Another process has the address, so the former one has ended.
-			s.removeBackend(other.Instance, true)
+			s.removeBackend(at, other.Instance, true)
 		}
 	}
 	if known, ok := s.Backends[b.ID]; ok && known.Born == b.Born {
 		b.Leaving = b.Leaving || known.Leaving
 	}
+	b.Leaving = s.recordLeaving(b)
 	if s.Backends == nil {
 		s.Backends = map[shmodel.BackendServer]Backend{}
 	}
 	b.At = s.Index
 	s.Backends[b.ID] = b
+	return true
 }
 
 // Admits reports whether the process lifetime of an announcement may still be
@@ -199,12 +212,13 @@
 	return slices.ContainsFunc(s.Document.Table.Services, func(x Service) bool { return x.Name == name })
 }
 
-func (s *State) removeBackend(i Instance, ended bool) {
+func (s *State) removeBackend(at time.Time, i Instance, ended bool) {
 	known, listed := s.Backends[i.ID]
 	if i.Born == 0 {
 		// Without a start time, the last known lifetime is meant.
-		i.Born = max(known.Born, s.Lapsed[i.ID])
+		i.Born = max(known.Born, s.Lapsed[i.ID], s.Statements[i.ID].Born)
 	}
+	s.endStatement(at, i, ended)
 	if ended && i.Born > 0 && i.Born >= s.Ended[i.ID] {
 		s.Ended = rememberLifetime(s.Ended, i)
 	}
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -305,7 +305,7 @@
 	if !r.changesState(a) {
 		return nil
 	}
-	_, err := r.Propose(ctx, shfleet.PutBackends{Backends: []shfleet.Backend{a.Backend}})
+	_, err := r.Propose(ctx, shfleet.PutBackends{Backends: []shfleet.Backend{a.Backend}, Sequences: []int64{a.Sequence}})
 	if err != nil {
 		return err
 	}
@@ -332,8 +332,11 @@
 	if last := r.sequences[a.ID]; last.born == a.Born && a.Sequence <= last.number {
 		return false
 	}
+	if r.state.Outdated(a.Instance, a.Sequence) {
+		return false
+	}
 	known, ok := r.state.Backend(a.ID)
-	if !ok || !sameAnnouncement(known, a.Backend, time.Since(r.announcedAt[a.ID])) {
+	if !ok || !sameAnnouncement(known, a.Backend) {
 		return true
 	}
 	r.sequences[a.ID] = sequence{born: a.Born, number: a.Sequence}
@@ -344,7 +347,10 @@
 func (r *Registry) recordAnnouncement(a Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sequences[a.ID] = sequence{born: a.Born, number: a.Sequence}
+	// A later announcement may have been received meanwhile.
+	if last := r.sequences[a.ID]; last.born != a.Born || last.number < a.Sequence {
+		r.sequences[a.ID] = sequence{born: a.Born, number: a.Sequence}
+	}
 	r.recordHeartbeat(a.ID)
 }
 
@@ -358,18 +364,16 @@
 	r.lastHeartbeat[id] = time.Now()
 }
 
-// sameAnnouncement reports whether an announcement matches the known one, which
-// was made the elapsed time ago. The end of a cold period counts as a change:
-// otherwise a VM that starts later would take the backend server for cold.
-func sameAnnouncement(known, announced shfleet.Backend, elapsed time.Duration) bool {
+// sameAnnouncement reports whether an announcement says nothing new. One of a cold
+// backend server always does: this VM may lag behind the leader, and take a cold period
+// that has ended for the present one. So does the end of a cold period, since a VM that
+// starts later would take the backend server for cold.
+func sameAnnouncement(known, announced shfleet.Backend) bool {
 	if known.Leaving {
 		announced.Leaving = true
 	}
-	left := max(known.ColdFor.Duration()-elapsed, 0)
-	same := (left-announced.ColdFor.Duration()).Abs() < coldTolerance && (known.ColdFor == 0 || announced.ColdFor > 0)
-	known.ColdFor, announced.ColdFor = 0, 0
 	known.At, announced.At = 0, 0
-	return same && known == announced
+	return announced.ColdFor == 0 && known == announced
 }
 
 // Withdraw removes a backend server whose process has ended. Born is the start
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -72,9 +72,6 @@
 	minPackedBytes = 1024
 	// maxChangeBytes bounds a decompressed change.
 	maxChangeBytes = 64 << 20
-	// coldTolerance is the smallest change of the rest of a cold period that is
-	// proposed as a command.
-	coldTolerance = 400 * time.Millisecond
 	// formingTimeout is how long a leader refuses commands while a new Raft group
 	// lacks voters. Afterwards it accepts them with the voters that there are.
 	formingTimeout = 5 * time.Second
