Replace the view of an observer by a change that holds the whole state

A change from index zero now starts from an empty view. The document is kept: it is never empty once there was one.

--- a/coordination/shfleet/state_test.go
+++ b/coordination/shfleet/state_test.go
@@ -1,6 +1,7 @@
 package shfleet_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -128,6 +129,34 @@
 	})
 }
 
+// Guards against an observer that keeps evacuations, VMs and crash counts which a control
+// VM that was restored from a snapshot no longer has.
+func TestWholeChangeReplacesView(t *testing.T) {
+	var former, s shfleet.State
+	for i, c := range []shfleet.Command{
+		shfleet.SetEvacuation{Zone: "z", Evacuated: true},
+		shfleet.PutEntry{Entry: shfleet.Entry{VM: "e", Address: "e:1"}},
+		shfleet.PutControl{Control: shfleet.Control{VM: "c", Address: "c:1"}},
+		shfleet.ReportCrash{Digest: shmodel.Digest{1}},
+		putBackends(backend("b", 1, "b:1")),
+	} {
+		former.Apply(uint64(i+1), time.Time{}, c)
+	}
+	v := shfleet.View{}.Apply(former.Since(0))
+	s.Apply(9, time.Time{}, shfleet.PutBackends{})
+	data, err := s.Snapshot()
+	assert.NilError(t, err)
+	var restored shfleet.State
+	assert.NilError(t, restored.Restore(data))
+	data, err = json.Marshal(restored.Since(0))
+	assert.NilError(t, err)
+	var c shfleet.Change
+	assert.NilError(t, json.Unmarshal(data, &c))
+	v = v.Apply(c)
+	assert.Equal(t, len(v.Evacuated)+len(v.Entries)+len(v.Controls)+len(v.CrashCounts)+len(v.Backends), 0)
+	assert.Equal(t, v.Index, uint64(9))
+}
+
 func drawCommand(t *rapid.T, s *shfleet.State) shfleet.Command {
 	id := fmt.Sprint("b", rapid.IntRange(0, 5).Draw(t, "id"))
 	born := int64(rapid.IntRange(1, 4).Draw(t, "born"))
--- a/coordination/shfleet/view.go
+++ b/coordination/shfleet/view.go
@@ -89,6 +89,10 @@
 		return v
 	}
 	next := v
+	if c.From == 0 {
+		// In JSON, a part that is empty is left out or null.
+		next = View{Version: v.Version, Table: v.Table, Limits: v.Limits}
+	}
 	next.Index = c.To
 	if c.Table != nil {
 		next.Version, next.Table, next.Limits = c.Version, NewRouteIndex(*c.Table), c.Table.Limits
