Give up an evacuation order that arrives late

The command names the change that was read and has no effect if another one took effect since, so that a suspended VM or a message that is held up between control VMs carries out nothing old. An order that changes nothing is accepted in any case, as it may be a repetition.

--- a/coordination/shfleet/command.go
+++ b/coordination/shfleet/command.go
@@ -18,10 +18,13 @@
 	Document Document `json:"document"`
 }
 
-// SetEvacuation starts or ends the evacuation of a failure domain.
+// SetEvacuation starts or ends the evacuation of a failure domain. Its result is
+// Conflict if it would change that and Base is not the log index of the last change.
 type SetEvacuation struct {
 	Zone      shmodel.FailureDomain `json:"zone"`
 	Evacuated bool                  `json:"evacuated"`
+	// Base is State.EvacuateAt when the order arrived, nil in commands of earlier builds.
+	Base *uint64 `json:"base,omitempty"`
 }
 
 // PutBackends records announcements of backend servers. An announcement is
@@ -87,12 +90,12 @@
 func (ReserveRange) command()   {}
 func (ReportCrash) command()    {}
 
-// Result is the outcome of a PutDocument; other commands always succeed.
+// Result is the outcome of a PutDocument or SetEvacuation; other commands always succeed.
 type Result string
 
 // Results.
 const (
-	// Accepted says that the document is in force or was accepted before.
+	// Accepted says that the command is in force or was accepted before.
 	Accepted Result = "accepted"
 	// Conflict says that another version is in force.
 	Conflict Result = "conflict"
--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -85,7 +85,7 @@
 	case PutDocument:
 		return s.putDocument(c.Document)
 	case SetEvacuation:
-		s.setEvacuation(c)
+		return s.setEvacuation(c)
 	case PutBackends:
 		for i, b := range c.Backends {
 			if i < len(c.Sequences) {
@@ -140,16 +140,20 @@
 	return sum[:16]
 }
 
-func (s *State) setEvacuation(c SetEvacuation) {
+func (s *State) setEvacuation(c SetEvacuation) Result {
 	if slices.Contains(s.Evacuated, c.Zone) == c.Evacuated {
-		return
+		return Accepted
+	}
+	if c.Base != nil && *c.Base != s.EvacuateAt {
+		return Conflict
 	}
 	s.EvacuateAt = s.Index
 	if c.Evacuated {
 		s.Evacuated = append(slices.Clone(s.Evacuated), c.Zone)
-		return
+	} else {
+		s.Evacuated = slices.DeleteFunc(slices.Clone(s.Evacuated), func(z shmodel.FailureDomain) bool { return z == c.Zone })
 	}
-	s.Evacuated = slices.DeleteFunc(slices.Clone(s.Evacuated), func(z shmodel.FailureDomain) bool { return z == c.Zone })
+	return Accepted
 }
 
 // putBackend reports whether it has recorded the announcement.
--- a/transport/shregistry/late_test.go
+++ b/transport/shregistry/late_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"sequoiahollow/coordination/shfleet"
+	"sequoiahollow/state/shmodel"
 	"sequoiahollow/transport/shwatch"
 )
 
@@ -105,3 +108,52 @@
 		at = b.At
 	}
 }
+
+// Guards against an order that is carried out although its caller has left and a later one
+// was acknowledged, because it was held up before it reached the control VM or between two
+// control VMs.
+func TestLateEvacuationOrder(t *testing.T) {
+	vms := startGroup(t)
+	g := &group{t: t, vms: vms, observer: startObserver(t, vms[0])}
+	order := func(v *vm, evacuated bool) {
+		t.Helper()
+		retry(t, func(ctx context.Context) error { return v.SetEvacuation(ctx, "z", evacuated) })
+	}
+	evacuated := func() bool {
+		t.Helper()
+		g.seen()
+		return g.observer.View().Evacuated["z"]
+	}
+	base := g.observer.View().Index
+	for i, v := range vms {
+		order(v, i%2 == 0)
+		assert.Equal(t, evacuated(), i%2 == 0)
+	}
+
+	ctx, leave := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, leave)
+	assert.Assert(t, vms[2].SetEvacuation(ctx, "z", false) != nil)
+	assert.Assert(t, evacuated(), "the caller had left")
+
+	late := shfleet.SetEvacuation{Zone: "z", Base: &base}
+	for _, v := range vms {
+		retry(t, func(ctx context.Context) error {
+			result, err := v.Propose(ctx, late)
+			if err == nil {
+				assert.Equal(t, result, shfleet.Conflict)
+			}
+			return err
+		})
+	}
+	assert.Assert(t, evacuated(), "held up between control VMs")
+
+	var both sync.WaitGroup
+	for i, zone := range []shmodel.FailureDomain{"z", "y"} {
+		both.Go(func() {
+			retry(t, func(ctx context.Context) error { return vms[i].SetEvacuation(ctx, zone, zone == "y") })
+		})
+	}
+	both.Wait()
+	assert.Assert(t, !evacuated())
+	assert.Assert(t, g.observer.View().Evacuated["y"])
+}
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -293,12 +293,6 @@
 	return nil
 }
 
-// SetEvacuation starts or ends the evacuation of a failure domain.
-func (r *Registry) SetEvacuation(ctx context.Context, zone shmodel.FailureDomain, evacuated bool) error {
-	_, err := r.Propose(ctx, shfleet.SetEvacuation{Zone: zone, Evacuated: evacuated})
-	return err
-}
-
 // Announce records the announcement of a backend server. It returns nil once the
 // announcement is committed, or if it changes nothing or is out of date.
 func (r *Registry) Announce(ctx context.Context, a Announcement) error {
@@ -404,6 +398,7 @@
 		err := r.store.Read(ctx, func() { d = r.document() })
 		return d, err
 	})
+	shpeer.Handle(r.config.Server, methodEvacuations, r.evacuations)
 	shpeer.Handle(r.config.Server, methodHeartbeats, r.handleHeartbeats)
 	shpeer.Handle(r.config.Server, MethodReserve, r.reserve)
 	shpeer.Handle(r.config.Server, methodRanges, func(ctx context.Context, _ empty) ([]shrecord.Range, error) {
--- a/transport/shregistry/shregistry.go
+++ b/transport/shregistry/shregistry.go
@@ -83,11 +83,12 @@
 // Peer methods.
 const (
 	// MethodPropose takes a ProposeRequest.
-	MethodPropose    = "fleet.propose"
-	methodWithdraw   = "fleet.withdraw"
-	methodDocument   = "fleet.document"
-	methodHeartbeats = "fleet.seen"
-	methodRanges     = "fleet.ranges"
+	MethodPropose     = "fleet.propose"
+	methodWithdraw    = "fleet.withdraw"
+	methodDocument    = "fleet.document"
+	methodHeartbeats  = "fleet.seen"
+	methodEvacuations = "fleet.evacuations"
+	methodRanges      = "fleet.ranges"
 	// MethodReserve takes a shcontrol.ReserveRange and returns a shrecord.Range.
 	MethodReserve = "fleet.reserve"
 	// MethodWatch takes a WatchRequest and returns a WatchResponse.
