Start the cold pace when an evacuation ends

Entry VMs take a backend server for warm until an announcement says otherwise. The command that ends an evacuation now takes the backend servers of the zone for cold for the cold period of their services. That is replicated, so all entry VMs share the pace, also one that starts then. The first announcement that says otherwise is recorded as a change and ends it.

Ruled out: health checks, which cost slots and connections and may be as old.

--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -152,10 +152,30 @@
 		s.Evacuated = append(slices.Clone(s.Evacuated), c.Zone)
 	} else {
 		s.Evacuated = slices.DeleteFunc(slices.Clone(s.Evacuated), func(z shmodel.FailureDomain) bool { return z == c.Zone })
+		// Commands of earlier builds must lead to the same state as there.
+		if c.Base != nil {
+			s.restartCold(c.Zone)
+		}
 	}
 	return Accepted
 }
 
+// restartCold takes the backend servers of a failure domain for cold until they say
+// otherwise. They may have become cold while they got no requests, and their next
+// announcements come later than the first requests.
+func (s *State) restartCold(zone shmodel.FailureDomain) {
+	periods := map[shmodel.Service]Millis{}
+	for _, x := range s.Document.Table.Services {
+		periods[x.Name] = x.ColdPeriod
+	}
+	for id, b := range s.Backends {
+		if period := periods[b.Service]; b.Zone == zone && period > 0 {
+			b.ColdFor, b.At = max(b.ColdFor, period), s.Index
+			s.Backends[id] = b
+		}
+	}
+}
+
 // putBackend reports whether it has recorded the announcement.
 func (s *State) putBackend(at time.Time, b Backend) bool {
 	if !s.Admits(b) {
--- a/coordination/shfleet/statement_test.go
+++ b/coordination/shfleet/statement_test.go
@@ -134,3 +134,32 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, b.ColdFor, shfleet.Millis(9))
 }
+
+// Guards against backend servers that get all their traffic at once when an evacuation
+// ends, although they became cold meanwhile and have not said so yet.
+func TestEndOfEvacuationStartsColdPeriod(t *testing.T) {
+	var s shfleet.State
+	apply := func(c shfleet.Command) { s.Apply(s.Index+1, time.Time{}, c) }
+	evacuate := func(evacuated bool) {
+		base := s.EvacuateAt
+		apply(shfleet.SetEvacuation{Zone: "z", Evacuated: evacuated, Base: &base})
+	}
+	coldFor := func(id shmodel.BackendServer) shfleet.Millis { return s.Backends[id].ColdFor }
+	d := document(1, 0, "d")
+	d.Table.Services = []shfleet.Service{{Name: "s", ColdRate: 16, ColdPeriod: 3000}}
+	apply(shfleet.PutDocument{Document: d})
+	inZone, other := backend("a", 1, "a:1"), backend("b", 1, "b:1")
+	inZone.Service, inZone.Zone, other.Service, other.Zone = "s", "z", "s", "y"
+	apply(shfleet.PutBackends{Backends: []shfleet.Backend{inZone, other}, Sequences: []int64{1, 1}})
+	evacuate(true)
+	assert.Equal(t, coldFor("a"), shfleet.Millis(0))
+	evacuate(false)
+	assert.Equal(t, coldFor("a"), shfleet.Millis(3000))
+	assert.Equal(t, s.Backends["a"].At, s.Index)
+	assert.Equal(t, coldFor("b"), shfleet.Millis(0))
+	// A repeated order starts no further period.
+	evacuate(false)
+	assert.Assert(t, s.Backends["a"].At < s.Index)
+	apply(shfleet.PutBackends{Backends: []shfleet.Backend{inZone}, Sequences: []int64{2}})
+	assert.Equal(t, coldFor("a"), shfleet.Millis(0))
+}
