--- a/coordination/shfair/shfair.go
+++ b/coordination/shfair/shfair.go
@@ -24,7 +24,7 @@
 	Max int
 
 	entries map[K]*list.Element
-	groups  map[G]*list.List // of entry, the oldest first
+	groups  map[G]*list.List // of *entry, the oldest first
 }
 
 type entry[G, K comparable, V any] struct {
@@ -39,13 +39,20 @@
 	if m.entries == nil {
 		m.entries, m.groups = map[K]*list.Element{}, map[G]*list.List{}
 	}
-	m.Delete(k)
 	l := m.groups[g]
+	if e, known := m.entries[k]; known {
+		if old := e.Value.(*entry[G, K, V]); old.group == g {
+			old.value = v
+			l.MoveToBack(e)
+			return dropped, false
+		}
+		m.Delete(k)
+	}
 	if l == nil {
 		l = list.New()
 		m.groups[g] = l
 	}
-	m.entries[k] = l.PushBack(entry[G, K, V]{g, k, v})
+	m.entries[k] = l.PushBack(&entry[G, K, V]{g, k, v})
 	if m.Max <= 0 || len(m.entries) <= m.Max {
 		return dropped, false
 	}
@@ -56,7 +63,7 @@
 			largest = other
 		}
 	}
-	oldest := largest.Front().Value.(entry[G, K, V])
+	oldest := largest.Front().Value.(*entry[G, K, V])
 	m.Delete(oldest.key)
 	return oldest.value, true
 }
@@ -64,7 +71,7 @@
 // Get returns the value of a key.
 func (m *Map[G, K, V]) Get(k K) (V, bool) {
 	if e, ok := m.entries[k]; ok {
-		return e.Value.(entry[G, K, V]).value, true
+		return e.Value.(*entry[G, K, V]).value, true
 	}
 	var none V
 	return none, false
@@ -76,7 +83,7 @@
 	if l == nil {
 		return k, v, false
 	}
-	e := l.Front().Value.(entry[G, K, V])
+	e := l.Front().Value.(*entry[G, K, V])
 	return e.key, e.value, true
 }
 
@@ -87,7 +94,7 @@
 		return
 	}
 	delete(m.entries, k)
-	g := e.Value.(entry[G, K, V]).group
+	g := e.Value.(*entry[G, K, V]).group
 	if l := m.groups[g]; l.Len() > 1 {
 		l.Remove(e)
 	} else {
@@ -102,7 +109,7 @@
 func (m *Map[G, K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
 		for k, e := range m.entries {
-			if !yield(k, e.Value.(entry[G, K, V]).value) {
+			if !yield(k, e.Value.(*entry[G, K, V]).value) {
 				return
 			}
 		}
