--- a/coordination/shfleet/statement.go
+++ b/coordination/shfleet/statement.go
@@ -99,15 +99,15 @@
 // statementLifetime ago and, beyond maxStatements, the older half.
 func (s *State) forgetStatements(at time.Time) {
 	maps.DeleteFunc(s.Statements, func(_ shmodel.BackendServer, x statement) bool { return x.expired(at) })
-	if len(s.Statements)-len(s.Backends) <= maxStatements {
-		return
-	}
 	var removed []int64
 	for _, x := range s.Statements {
 		if x.RemovedAt > 0 {
 			removed = append(removed, x.RemovedAt)
 		}
 	}
+	if len(removed) <= maxStatements {
+		return
+	}
 	slices.Sort(removed)
 	middle := removed[len(removed)/2]
 	maps.DeleteFunc(s.Statements, func(_ shmodel.BackendServer, x statement) bool {
--- a/transport/shfront/exchange.go
+++ b/transport/shfront/exchange.go
@@ -328,8 +328,9 @@
 		x.deliverStream(c, r, load)
 		return attemptDelivered
 	}
-	withheld := promisesNotRun(r.Status)
-	failed := withheld || r.Status >= http.StatusInternalServerError
+	// The backend server has not stated what the status promises.
+	mustNotPass := promisesNotRun(r.Status)
+	failed := mustNotPass || r.Status >= http.StatusInternalServerError
 	var seen shbalance.Observation = shbalance.Answered{Failed: failed, Load: load, Connect: r.Connect}
 	if declined {
 		seen = shbalance.Declined{Load: load}
@@ -338,9 +339,9 @@
 	if x.view.CrashCounts[x.digest] > 0 {
 		h.Report(CrashReport{Digest: x.digest, Service: x.service, Cleared: true})
 	}
-	if withheld || failed && x.route.Kind == shmodel.Idempotent {
+	if mustNotPass || failed && x.route.Kind == shmodel.Idempotent {
 		x.logAttempt(c, "failed "+strconv.Itoa(r.Status), nil)
-		if !withheld {
+		if !mustNotPass {
 			x.lastFailure = &r
 		}
 		return x.retryIfIdempotent()
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -327,6 +327,7 @@
 		return false
 	}
 	if r.state.Outdated(a.Instance, a.Sequence) {
+		r.config.Logger.Info("late announcement ignored", "id", a.ID, "born", a.Born, "sequence", a.Sequence)
 		return false
 	}
 	known, ok := r.state.Backend(a.ID)
