Let no announcement of another program keep a backend server out

An announcement with the ID of a backend server, a service that is in no document and a high number would have been recorded, and the backend server's own ones ignored for as long as its numbers are lower, up to an hour after its removal.

Such an announcement changes nothing of a backend server whose service is named, and leaves no number in any case. Statements are kept for a minute after a removal in place of an hour, which is longer than links are cut, so that a wrong number or start time has an end. A control VM takes an announcement for a heartbeat only if it was recorded. ForeignAt and its test are as they were.

--- a/coordination/shfleet/statement.go
+++ b/coordination/shfleet/statement.go
@@ -10,8 +10,9 @@
 
 const (
 	// statementLifetime is how long a statement is kept after the removal of its backend
-	// server. Announcements may be late by seconds, for as long as a link is cut.
-	statementLifetime = time.Hour
+	// server. Announcements may be late by seconds, for as long as a link is cut. A start
+	// time or a number that was wrong keeps a backend server out no longer than that.
+	statementLifetime = time.Minute
 	// maxStatements bounds the statements of backend servers that are not listed.
 	maxStatements = 16384
 	// statementSweep is the number of commands after which statements are dropped. Each
@@ -50,8 +51,13 @@
 	return ok && known.RemovedAt == 0 && known.outdates(i, sequence)
 }
 
-// putNumbered records an announcement unless it is older than what is known.
+// putNumbered records an announcement unless it is older than what is known or comes from
+// another program. One of a service that is in no document leaves no statement: it may
+// come from another program too, and its backend server gets no requests.
 func (s *State) putNumbered(at time.Time, b Backend, sequence int64) {
+	if s.isForeign(b) {
+		return
+	}
 	if known, ok := s.Statements[b.ID]; ok {
 		if known.expired(at) {
 			delete(s.Statements, b.ID)
@@ -59,7 +65,7 @@
 			return
 		}
 	}
-	if !s.putBackend(at, b) {
+	if !s.putBackend(at, b) || !s.namesService(b.Service) {
 		return
 	}
 	if s.Statements == nil {
@@ -68,6 +74,16 @@
 	s.Statements[b.ID] = statement{Born: b.Born, Sequence: sequence, Leaving: s.Backends[b.ID].Leaving}
 }
 
+// isForeign reports whether an announcement comes from another program: its service is in
+// no document, while that of the backend server with its ID, or at its address, is.
+func (s *State) isForeign(b Backend) bool {
+	if _, ok := s.ForeignAt(b); ok {
+		return true
+	}
+	known, ok := s.Backends[b.ID]
+	return ok && s.namesService(known.Service) && !s.namesService(b.Service)
+}
+
 // recordLeaving returns whether the lifetime of an announcement leaves by all that it has
 // said.
 func (s *State) recordLeaving(b Backend) bool {
--- a/transport/shregistry/registry.go
+++ b/transport/shregistry/registry.go
@@ -49,10 +49,11 @@
 	// unreportedHeartbeats are the backend servers that sent a heartbeat to this VM
 	// since its last report to the leader.
 	unreportedHeartbeats map[shmodel.BackendServer]bool
-	// announcedAt is when this VM applied the last PutBackends command for a
+	// announcedAt is when this VM applied the last PutBackends command that changed a
 	// backend server, by the monotonic clock of this VM.
 	announcedAt map[shmodel.BackendServer]time.Time
-	sequences   map[shmodel.BackendServer]sequence
+	// sequences are those of the last heartbeats that this VM received.
+	sequences map[shmodel.BackendServer]sequence
 	// reportedCrashes is kept in the memory of the leader only.
 	reportedCrashes shfair.Map[shmodel.Service, reportedCrash, struct{}]
 	homes           shhome.Table
@@ -64,8 +65,8 @@
 	documents documentReads
 }
 
-// sequence is the highest sequence number received from a process lifetime of a
-// backend server.
+// sequence is the sequence number of an announcement of a process lifetime of a backend
+// server.
 type sequence struct {
 	born   int64
 	number int64
@@ -151,7 +152,9 @@
 	result := r.state.Apply(index, at, c)
 	if put, ok := c.(shfleet.PutBackends); ok {
 		for _, b := range put.Backends {
-			r.announcedAt[b.ID] = time.Now()
+			if recorded, ok := r.state.Backend(b.ID); ok && recorded.At == index {
+				r.announcedAt[b.ID] = time.Now()
+			}
 		}
 	}
 	r.scheduleRelease()
@@ -303,7 +306,6 @@
 	if err != nil {
 		return err
 	}
-	r.recordAnnouncement(a)
 	r.config.Logger.Info("backend server announced", "id", a.ID, "born", a.Born, "service", a.Service,
 		"address", a.Address, "zone", a.Zone, "leaving", a.Leaving, "coldForMs", a.ColdFor)
 	return nil
@@ -339,16 +341,6 @@
 	return false
 }
 
-func (r *Registry) recordAnnouncement(a Announcement) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	// A later announcement may have been received meanwhile.
-	if last := r.sequences[a.ID]; last.born != a.Born || last.number < a.Sequence {
-		r.sequences[a.ID] = sequence{born: a.Born, number: a.Sequence}
-	}
-	r.recordHeartbeat(a.ID)
-}
-
 // recordHeartbeat records a heartbeat of a backend server, on a VM that is not
 // the leader for the next report to the leader. The caller holds the mutex.
 func (r *Registry) recordHeartbeat(id shmodel.BackendServer) {
