Keep keys and homes beside a route with very many keys

What callers saw: with one route that has more keys than the leader's table of homes holds, new keys of all other routes got no home, so that callers who moved to another region ran cold there. At an entry VM, the 4,097th key of a route at a service made it forget all of them, also those in use.

Cause: shhome took no new key beyond MaxKeys, whatever its route, and shbalance replaced the whole set of keys at maxKeys.

Why this works: both tables are a shfair.Map now. In the leader's table the key of the largest route that was seen longest ago makes room for one of a smaller route. Keys of the largest route itself still wait, since each would only push out another of its own. An entry VM drops the key that was used longest ago, of the route that has the most.

Evidence: shhome TestFullTable failed before ("second" got no home); shbalance TestKeysInUseAreKept failed before (6 reports of keys in place of 2). Tests of coordination pass.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -34,7 +34,7 @@
 	routes     shfair.Map[shmodel.Service, string, *routeTimes]
 	roundTrips map[shmodel.FailureDomain]*movingAverage
 	zones      map[shmodel.FailureDomain]*zoneState
-	keys       map[keySpace]map[string]*key
+	keys       shfair.Map[keySpace, keyID, *key]
 	// homes are the known regions of keys.
 	homes map[shhome.Key]shmodel.Region
 	// uploads says that callers send long bodies, which cold runs hold longer.
@@ -60,7 +60,7 @@
 		routes:     shfair.Map[shmodel.Service, string, *routeTimes]{Max: maxRoutes},
 		roundTrips: map[shmodel.FailureDomain]*movingAverage{},
 		zones:      map[shmodel.FailureDomain]*zoneState{},
-		keys:       map[keySpace]map[string]*key{},
+		keys:       shfair.Map[keySpace, keyID, *key]{Max: maxKeys},
 		absent:     shfair.Map[shmodel.Service, shfleet.Instance, statement]{Max: maxAbsent},
 		homes:      map[shhome.Key]shmodel.Region{},
 	}
--- a/coordination/shbalance/export_test.go
+++ b/coordination/shbalance/export_test.go
@@ -23,10 +23,8 @@
 	for name, z := range b.zones {
 		c.zones[string(name)] = fmt.Sprintf("%+v", *z)
 	}
-	for space, set := range b.keys {
-		for name, k := range set {
-			c.keys[fmt.Sprint(space, name)] = fmt.Sprintf("%+v", *k)
-		}
+	for id, k := range b.keys.All() {
+		c.keys[fmt.Sprint(id)] = fmt.Sprintf("%+v", *k)
 	}
 	return fmt.Sprintf("%+v %v %v %v", c, b.homes, b.sightings, maps.Collect(b.absent.All()))
 }
--- a/coordination/shbalance/home.go
+++ b/coordination/shbalance/home.go
@@ -45,14 +45,12 @@
 	for _, h := range homes {
 		b.homes[h.Key] = h.Region
 	}
-	for space, keys := range b.keys {
-		for name, k := range keys {
-			if home, ok := b.homes[shhome.Key{Route: space.route, Name: name}]; ok {
-				k.home = home
-			}
-			if all {
-				k.reportedAt = time.Time{}
-			}
+	for id, k := range b.keys.All() {
+		if home, ok := b.homes[shhome.Key{Route: id.space.route, Name: id.name}]; ok {
+			k.home = home
+		}
+		if all {
+			k.reportedAt = time.Time{}
 		}
 	}
 }
--- a/coordination/shbalance/home_test.go
+++ b/coordination/shbalance/home_test.go
@@ -52,6 +52,35 @@
 	assert.Equal(t, see(start.Add(shhome.RefreshInterval+time.Second)), 1)
 }
 
+// Guards against a key that is forgotten although it is in use, because the same route or
+// another one has very many keys.
+func TestKeysInUseAreKept(t *testing.T) {
+	b := balancer("e1", "n1", fleet(4))
+	reports := 0
+	see := func(route, key string) {
+		r := request(key)
+		busy := *r.Route
+		busy.Name = route
+		r.Route = &busy
+		c := pick(t, b, start, r)
+		b.Done(start, c, shbalance.Canceled{})
+		for _, h := range b.Sightings() {
+			if h.Name == "quiet" || h.Name == "used" {
+				reports++
+			}
+		}
+	}
+	see("other", "quiet")
+	for i := range 20_000 {
+		if i%1000 == 0 {
+			see("busy", "used")
+		}
+		see("busy", fmt.Sprint(i))
+	}
+	see("other", "quiet")
+	assert.Equal(t, reports, 2)
+}
+
 // Guards against the homes of a route that are forgotten because another route has very
 // many keys.
 func TestHomesOfOtherRoutesAreKept(t *testing.T) {
--- a/coordination/shbalance/key.go
+++ b/coordination/shbalance/key.go
@@ -17,6 +17,11 @@
 	service shmodel.Service
 }
 
+type keyID struct {
+	space keySpace
+	name  string
+}
+
 // key is the state kept for the requests with one key.
 type key struct {
 	name string
@@ -56,24 +61,24 @@
 	}
 }
 
-// key returns the key of a request.
+// key returns the key of a request. Beyond maxKeys the one that was used longest ago is
+// forgotten, of the route that has the most.
 func (b *Balancer) key(r Request) *key {
-	space := keySpace{route: r.Route.Name, service: r.Service}
-	set := b.keys[space]
-	if set == nil || len(set) > maxKeys {
-		set = map[string]*key{}
-		b.keys[space] = set
-	}
-	k := set[r.Key]
-	if k == nil {
+	id := keyIDOf(r)
+	k, ok := b.keys.Get(id)
+	if !ok {
 		k = &key{name: r.Route.Name + " " + r.Key}
 		k.hash = xxhash.Sum64String(k.name)
 		k.home = b.homes[shhome.Key{Route: r.Route.Name, Name: r.Key}]
-		set[r.Key] = k
 	}
+	b.keys.Put(id.space, id, k)
 	return k
 }
 
+func keyIDOf(r Request) keyID {
+	return keyID{keySpace{route: r.Route.Name, service: r.Service}, r.Key}
+}
+
 // preferredBackends are the backend servers that rendezvous hashing names for a
 // key. All entry VMs of a region name the same ones.
 type preferredBackends struct {
--- a/coordination/shbalance/placement.go
+++ b/coordination/shbalance/placement.go
@@ -138,10 +138,10 @@
 		zone := *z
 		c.zones[name] = &zone
 	}
-	space := keySpace{route: r.Route.Name, service: r.Service}
-	if k := b.keys[space][r.Key]; k != nil {
+	id := keyIDOf(r)
+	if k, ok := b.keys.Get(id); ok {
 		own := *k
-		c.keys[space] = map[string]*key{r.Key: &own}
+		c.keys.Put(id.space, id, &own)
 	}
 	return c
 }
--- a/coordination/shbalance/shbalance.go
+++ b/coordination/shbalance/shbalance.go
@@ -164,8 +164,8 @@
 	// with 3 slots, in 10% with 6 and in 5% with 9 (Erlang C). A second one saves bytes
 	// between failure domains and costs cold runs.
 	manySlots = 6
-	// maxKeys bounds the remembered keys of a route at a service.
-	maxKeys = 4096
+	// maxKeys bounds the remembered keys.
+	maxKeys = 16384
 	// maxAbsent bounds the remembered statements of instances that are not in the
 	// view. The largest example deployment has 1,620 backend servers.
 	maxAbsent = 4096
--- a/coordination/shfair/shfair.go
+++ b/coordination/shfair/shfair.go
@@ -105,6 +105,23 @@
 // Len returns the number of entries.
 func (m *Map[G, K, V]) Len() int { return len(m.entries) }
 
+// GroupLen returns the number of entries of a group.
+func (m *Map[G, K, V]) GroupLen(g G) int {
+	if l := m.groups[g]; l != nil {
+		return l.Len()
+	}
+	return 0
+}
+
+// LargestLen returns the number of entries of the group that has the most.
+func (m *Map[G, K, V]) LargestLen() int {
+	largest := 0
+	for _, l := range m.groups {
+		largest = max(largest, l.Len())
+	}
+	return largest
+}
+
 // All returns the entries in no order. Entries may be deleted meanwhile.
 func (m *Map[G, K, V]) All() iter.Seq2[K, V] {
 	return func(yield func(K, V) bool) {
--- a/coordination/shhome/shhome.go
+++ b/coordination/shhome/shhome.go
@@ -24,6 +24,7 @@
 	"sort"
 	"time"
 
+	"sequoiahollow/coordination/shfair"
 	"sequoiahollow/state/shmodel"
 )
 
@@ -52,7 +53,7 @@
 // Table holds the homes. The zero value is an empty table. It is not safe for
 // concurrent use.
 type Table struct {
-	homes map[Key]*entry
+	homes shfair.Map[string, Key, *entry] // by route
 	// changes are the homes in the order in which they were set. Outdated ones are
 	// removed now and then.
 	changes []change
@@ -75,28 +76,30 @@
 
 // Report records the keys that an entry VM of a region has seen.
 func (t *Table) Report(now time.Time, region shmodel.Region, keys []Home) {
-	if t.homes == nil {
-		t.homes = map[Key]*entry{}
-	}
+	t.homes.Max = MaxKeys
 	for _, k := range keys {
-		e := t.homes[k.Key]
+		e, ok := t.homes.Get(k.Key)
 		switch {
-		case e == nil:
+		case !ok:
 			t.add(now, region, k)
 		case e.region == region:
 			e.seen = now
+			t.homes.Put(k.Route, k.Key, e)
 		case now.Sub(e.seen) > HomeLifetime:
 			t.set(now, k.Key, region)
 		}
 	}
 }
 
-// add gives a key that was not known a home, if there is room for it.
+// add gives a key that was not known a home, if there is room for it. Beyond MaxKeys the
+// key of another route makes room if that one has more, so that a route with very many
+// keys does not leave others without homes. Keys of the same route do not: each one would
+// move as soon as another one is seen.
 func (t *Table) add(now time.Time, region shmodel.Region, k Home) {
-	if len(t.homes) >= MaxKeys {
+	if t.homes.Len() >= MaxKeys {
 		t.removeExpired(now)
 	}
-	if len(t.homes) >= MaxKeys {
+	if t.homes.Len() >= MaxKeys && t.homes.LargestLen() <= t.homes.GroupLen(k.Route)+1 {
 		return
 	}
 	if k.Region != "" {
@@ -107,9 +110,9 @@
 
 func (t *Table) set(now time.Time, k Key, region shmodel.Region) {
 	t.next++
-	t.homes[k] = &entry{region: region, sequence: t.next, seen: now}
+	t.homes.Put(k.Route, k, &entry{region: region, sequence: t.next, seen: now})
 	t.changes = append(t.changes, change{t.next, k})
-	if len(t.changes) > 2*len(t.homes) {
+	if len(t.changes) > 2*t.homes.Len() {
 		t.compact()
 	}
 }
@@ -118,7 +121,7 @@
 func (t *Table) compact() {
 	kept := t.changes[:0]
 	for _, c := range t.changes {
-		if e := t.homes[c.key]; e != nil && e.sequence == c.sequence {
+		if e, ok := t.homes.Get(c.key); ok && e.sequence == c.sequence {
 			kept = append(kept, c)
 		}
 	}
@@ -130,9 +133,9 @@
 		return
 	}
 	t.sweptAt = now
-	for k, e := range t.homes {
+	for k, e := range t.homes.All() {
 		if now.Sub(e.seen) > HomeLifetime {
-			delete(t.homes, k)
+			t.homes.Delete(k)
 		}
 	}
 	t.compact()
@@ -144,7 +147,7 @@
 	first := sort.Search(len(t.changes), func(i int) bool { return t.changes[i].sequence > sequence })
 	var homes []Home
 	for _, c := range t.changes[first:] {
-		if e := t.homes[c.key]; e != nil && e.sequence == c.sequence {
+		if e, ok := t.homes.Get(c.key); ok && e.sequence == c.sequence {
 			homes = append(homes, Home{c.key, e.region})
 		}
 	}
@@ -152,4 +155,4 @@
 }
 
 // Len returns the number of keys with a home.
-func (t *Table) Len() int { return len(t.homes) }
+func (t *Table) Len() int { return t.homes.Len() }
--- a/coordination/shhome/shhome_test.go
+++ b/coordination/shhome/shhome_test.go
@@ -75,3 +75,22 @@
 	homes, _ := x.Since(0)
 	assert.DeepEqual(t, homes, []shhome.Home{home("new", "south")})
 }
+
+// Guards against keys without homes because another route has very many keys, and against
+// keys that lose their homes to new ones of the same route.
+func TestFullTable(t *testing.T) {
+	var x shhome.Table
+	now := time.Now()
+	x.Report(now, "north", []shhome.Home{key("first")})
+	busy := make([]shhome.Home, 2*shhome.MaxKeys)
+	for i := range busy {
+		busy[i] = shhome.Home{Key: shhome.Key{Route: "busy", Name: fmt.Sprint(i)}}
+	}
+	x.Report(now, "north", busy)
+	_, last := x.Since(0)
+	x.Report(now, "south", busy)
+	assertHomes(t, &x, last)
+	x.Report(now, "south", []shhome.Home{key("first"), key("second")})
+	assertHomes(t, &x, last, home("second", "south"))
+	assert.Equal(t, x.Len(), shhome.MaxKeys)
+}
