Hold the homes of an entry VM in a shfair.Map

dropHomes looked for the route with the most homes, as shfair.Map does. The map does it now, with the same bound of twice MaxKeys. One thing differs: at the bound, the oldest homes of that route go one at a time, and no longer all of them at once. The bound also counts a key that is set again only once.

Tests of coordination/shbalance, shhome and shfair pass.

--- a/coordination/shbalance/balancer.go
+++ b/coordination/shbalance/balancer.go
@@ -35,8 +35,8 @@
 	roundTrips map[shmodel.FailureDomain]*movingAverage
 	zones      map[shmodel.FailureDomain]*zoneState
 	keys       shfair.Map[keySpace, keyID, *key]
-	// homes are the known regions of keys.
-	homes map[shhome.Key]shmodel.Region
+	// homes are the known regions of keys, by route.
+	homes shfair.Map[string, shhome.Key, shmodel.Region]
 	// uploads says that callers send long bodies, which cold runs hold longer.
 	uploads bool
 	// loadsShared says that the loads that other entry VMs cause are known.
@@ -62,7 +62,7 @@
 		zones:      map[shmodel.FailureDomain]*zoneState{},
 		keys:       shfair.Map[keySpace, keyID, *key]{Max: maxKeys},
 		absent:     shfair.Map[shmodel.Service, shfleet.Instance, statement]{Max: maxAbsent},
-		homes:      map[shhome.Key]shmodel.Region{},
+		homes:      shfair.Map[string, shhome.Key, shmodel.Region]{Max: 2 * shhome.MaxKeys},
 	}
 }
 
--- a/coordination/shbalance/export_test.go
+++ b/coordination/shbalance/export_test.go
@@ -26,5 +26,5 @@
 	for id, k := range b.keys.All() {
 		c.keys[fmt.Sprint(id)] = fmt.Sprintf("%+v", *k)
 	}
-	return fmt.Sprintf("%+v %v %v %v", c, b.homes, b.sightings, maps.Collect(b.absent.All()))
+	return fmt.Sprintf("%+v %v %v %v", c, maps.Collect(b.homes.All()), b.sightings, maps.Collect(b.absent.All()))
 }
--- a/coordination/shbalance/home.go
+++ b/coordination/shbalance/home.go
@@ -1,11 +1,9 @@
 package shbalance
 
 import (
-	"maps"
 	"time"
 
 	"sequoiahollow/coordination/shhome"
-	"sequoiahollow/state/shmodel"
 )
 
 // maxSightings bounds the keys that wait for a call of Sightings. Others are reported
@@ -39,14 +37,11 @@
 func (b *Balancer) SetHomes(homes []shhome.Home, all bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.homes) > 0 && len(b.homes)+len(homes) > 2*shhome.MaxKeys {
-		b.dropHomes()
-	}
 	for _, h := range homes {
-		b.homes[h.Key] = h.Region
+		b.homes.Put(h.Route, h.Key, h.Region)
 	}
 	for id, k := range b.keys.All() {
-		if home, ok := b.homes[shhome.Key{Route: id.space.route, Name: id.name}]; ok {
+		if home, ok := b.homes.Get(shhome.Key{Route: id.space.route, Name: id.name}); ok {
 			k.home = home
 		}
 		if all {
@@ -54,15 +49,3 @@
 		}
 	}
 }
-
-// dropHomes forgets the homes of the route that has the most, so that many keys of one
-// route do not push out those of others.
-func (b *Balancer) dropHomes() {
-	sizes, largest := map[string]int{}, ""
-	for k := range b.homes {
-		if sizes[k.Route]++; sizes[k.Route] > sizes[largest] {
-			largest = k.Route
-		}
-	}
-	maps.DeleteFunc(b.homes, func(k shhome.Key, _ shmodel.Region) bool { return k.Route == largest })
-}
--- a/coordination/shbalance/key.go
+++ b/coordination/shbalance/key.go
@@ -69,7 +69,7 @@
 	if !ok {
 		k = &key{name: r.Route.Name + " " + r.Key}
 		k.hash = xxhash.Sum64String(k.name)
-		k.home = b.homes[shhome.Key{Route: r.Route.Name, Name: r.Key}]
+		k.home, _ = b.homes.Get(shhome.Key{Route: r.Route.Name, Name: r.Key})
 	}
 	b.keys.Put(id.space, id, k)
 	return k
--- a/coordination/shbalance/placement.go
+++ b/coordination/shbalance/placement.go
@@ -131,8 +131,7 @@
 		c.services[r.Service] = append(c.services[r.Service], &state)
 	}
 	if t, ok := b.routes.Get(r.Route.Name); ok {
-		times := *t
-		*c.times(r.Route) = times
+		*c.times(r.Route) = *t
 	}
 	for name, z := range b.zones {
 		zone := *z
