Keep a draining that comes before the first desired state

What callers saw: requests at a backend server that had drained and was removed as silent, after a late announcement of it (DRAIN).

Cause: an announcement whose service is in no document left no statement, since it may come from another program. Before the first document that meant every announcement, so that a draining was forgotten with the removal.

In its logs the first election takes 1.5 s, the draining is recorded at 07.8836 s, the first table at index 10 is in force at 07.8899 s, i-4 is removed at 12.30 s and announced again at 17.825 s.

Why this works: before the first document no service is known, and all announcements leave a statement. The first document drops those of listed backend servers that it does not name, so that another program still can't keep a backend server out.

TestLateAnnouncementAfterRemoval/before_the_first_document failed before ("ok is true"). shfleet and shregistry pass.

--- a/coordination/shfleet/state.go
+++ b/coordination/shfleet/state.go
@@ -127,7 +127,11 @@
 	if d.Base != s.Document.Version || d.Version <= s.Document.Version {
 		return Conflict
 	}
+	first := s.Document.Version == 0
 	s.Document, s.DocumentAt = d, s.Index
+	if first {
+		s.dropUnnamedStatements()
+	}
 	s.Accepted = append(s.Accepted, acceptedDocument{Version: d.Version, Sum: sum})
 	if len(s.Accepted) > maxAcceptedDocuments {
 		s.Accepted = slices.Clone(s.Accepted[1:])
--- a/coordination/shfleet/statement.go
+++ b/coordination/shfleet/statement.go
@@ -52,8 +52,9 @@
 }
 
 // putNumbered records an announcement unless it is older than what is known or comes from
-// another program. One of a service that is in no document leaves no statement: it may
-// come from another program too, and its backend server gets no requests.
+// another program. One of a service that is not in the document leaves no statement: it may
+// come from another program too, and its backend server gets no requests. Before the first
+// document no service is known, and all leave one.
 func (s *State) putNumbered(at time.Time, b Backend, sequence int64) {
 	if s.isForeign(b) {
 		return
@@ -65,7 +66,7 @@
 			return
 		}
 	}
-	if !s.putBackend(at, b) || !s.namesService(b.Service) {
+	if !s.putBackend(at, b) || s.Document.Version > 0 && !s.namesService(b.Service) {
 		return
 	}
 	if s.Statements == nil {
@@ -74,6 +75,15 @@
 	s.Statements[b.ID] = statement{Born: b.Born, Sequence: sequence, Leaving: s.Backends[b.ID].Leaving}
 }
 
+// dropUnnamedStatements drops the statements of listed backend servers whose service is not
+// in the document.
+func (s *State) dropUnnamedStatements() {
+	maps.DeleteFunc(s.Statements, func(id shmodel.BackendServer, _ statement) bool {
+		b, ok := s.Backends[id]
+		return ok && !s.namesService(b.Service)
+	})
+}
+
 // isForeign reports whether an announcement comes from another program: its service is in
 // no document, while that of the backend server with its ID, or at its address, is.
 func (s *State) isForeign(b Backend) bool {
--- a/coordination/shfleet/statement_test.go
+++ b/coordination/shfleet/statement_test.go
@@ -116,6 +116,25 @@
 			assert.Equal(t, len(s.Instances()) == 1, name == "silent")
 		})
 	}
+	t.Run("before the first document", func(t *testing.T) {
+		var s shfleet.State
+		apply := func(c shfleet.Command) { s.Apply(s.Index+1, time.Unix(1_700_000_000, 0), c) }
+		apply(numbered("1", 7, 3, false))
+		apply(numbered("1", 7, 4, true))
+		unnamed := numbered("2", 7, 1000, true)
+		unnamed.Backends[0].Service = "unnamed"
+		apply(unnamed)
+		apply(naming())
+		apply(shfleet.RemoveBackends{Instances: []shfleet.Instance{{ID: "1", Born: 7}}})
+		apply(numbered("1", 7, 3, false))
+		_, ok := s.Backend("1")
+		assert.Assert(t, !ok)
+		// Another program must not keep a backend server out.
+		apply(shfleet.RemoveBackends{Instances: []shfleet.Instance{{ID: "2", Born: 7}}})
+		apply(numbered("2", 7, 1, false))
+		b, ok := s.Backend("2")
+		assert.Assert(t, ok && !b.Leaving)
+	})
 	t.Run("an earlier lifetime", func(t *testing.T) {
 		at := time.Unix(1_700_000_000, 0)
 		var s shfleet.State
